--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Targets: build, test, lint, demo, soak, bench, measure.
+GO ?= go
+TOOL = $(GO) tool -modfile=_tools/go.mod
+
+.PHONY: build test lint demo soak bench measure capacity
+
+build:
+	$(GO) build -o bin ./cmd/...
+
+lint:
+	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: the files above are not formatted"; exit 1; }
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+
+test: lint
+	bash _scripts/test.sh
+
+demo: build
+	bash _scripts/demo.sh
+
+soak:
+	EBONYRILL_SOAK_SEEDS=$${SEEDS:-2000} $(GO) test -count=1 -timeout 20m -run 'Soak' -v ./internal/...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 1s ./internal/...
+
+measure:
+	$(GO) run ./cmd/ebonyrill-measure policies
+
+capacity:
+	$(GO) run ./cmd/ebonyrill-measure capacity
--- /dev/null
+++ b/cmd/ebonyrill/main.go
@@ -0,0 +1,12 @@
+// Command ebonyrill is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"ebonyrill.dev/ebonyrill/internal/ops/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Operator(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/control/grant/keeper.go
@@ -0,0 +1,325 @@
+package grant
+
+import (
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/control/state"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Drift of clocks between hosts that leases allow for, as a fraction of the lease time.
+const (
+	driftNumerator   = 1
+	driftDenominator = 20
+)
+
+// Terms are the times that grants are kept by.
+type Terms struct {
+	lease   time.Duration
+	maxHold time.Duration
+}
+
+// NewTerms returns terms with the lease time and the longest deadline towards upstreams that do not check fences.
+func NewTerms(lease, maxHold time.Duration) Terms { return Terms{lease: lease, maxHold: maxHold} }
+
+// Lease returns how long a lease lasts for its holder.
+func (t Terms) Lease() time.Duration { return t.lease }
+
+// surelyOver returns how long after its last renewal a lease is over by every clock.
+func (t Terms) surelyOver() time.Duration {
+	return t.lease + t.lease*driftNumerator/driftDenominator
+}
+
+// upstreamLease is what the leader knows of one upstream.
+type upstreamLease struct {
+	renewedAt time.Duration
+	sequence  uint64
+	held      uint64
+	condemned bool
+	healthy   bool
+	load      float64
+}
+
+// entryLease is what the leader knows of one entry host.
+type entryLease struct {
+	incarnation uint64
+	renewedAt   time.Duration
+	applied     uint64
+	oldest      uint64
+	condemned   bool
+}
+
+// sliceName names a slice across services.
+type sliceName struct {
+	service string
+	start   uint64
+}
+
+// handover is what must have happened before a revoked slice can go on.
+type handover struct {
+	owner     uint32
+	fence     uint64
+	needHeld  uint64
+	needTable uint64
+	since     time.Duration
+}
+
+// Keeper holds the leases; it lives as long as one leadership does.
+type Keeper struct {
+	terms      Terms
+	startedAt  time.Duration
+	upstreams  map[uint32]*upstreamLease
+	entries    map[string]*entryLease
+	ghostsGone time.Duration
+	handovers  map[sliceName]*handover
+}
+
+// NewKeeper returns the leases of a leader that took over at now: all are live for one full lease time, and a request
+// of an entry host dropped before may still be on its way.
+func NewKeeper(terms Terms, now time.Duration, s *state.State) *Keeper {
+	k := &Keeper{terms: terms, startedAt: now, upstreams: map[uint32]*upstreamLease{}, entries: map[string]*entryLease{},
+		handovers: map[sliceName]*handover{}, ghostsGone: now + terms.surelyOver() + terms.maxHold}
+	k.Follow(now, s)
+	return k
+}
+
+// Follow brings the leases in line with a changed state.
+func (k *Keeper) Follow(now time.Duration, s *state.State) {
+	for _, u := range s.Upstreams() {
+		if k.upstreams[u.Number] == nil {
+			k.upstreams[u.Number] = &upstreamLease{renewedAt: now, healthy: true}
+		}
+	}
+	for number := range k.upstreams {
+		if _, ok := s.Upstream(number); !ok {
+			delete(k.upstreams, number)
+		}
+	}
+	k.followEntries(now, s)
+	k.followHandovers(now, s)
+}
+
+func (k *Keeper) followEntries(now time.Duration, s *state.State) {
+	for _, e := range s.Entries() {
+		if l := k.entries[e.Name]; l == nil || l.incarnation != e.Incarnation {
+			if l != nil {
+				k.noteGhost(l)
+			}
+			k.entries[e.Name] = &entryLease{incarnation: e.Incarnation, renewedAt: now}
+		}
+	}
+	for name, l := range k.entries {
+		if _, ok := s.Entry(name); !ok {
+			k.noteGhost(l)
+			delete(k.entries, name)
+		}
+	}
+}
+
+// noteGhost keeps moves away from unchecking upstreams waiting until requests of a dropped entry host have ended.
+func (k *Keeper) noteGhost(l *entryLease) {
+	k.ghostsGone = max(k.ghostsGone, l.renewedAt+k.terms.surelyOver()+k.terms.maxHold)
+}
+
+func (k *Keeper) followHandovers(now time.Duration, s *state.State) {
+	current := map[sliceName]bool{}
+	for _, v := range s.TableNames() {
+		set, _ := s.Table(v)
+		for i := range set.Len() {
+			e := set.At(i)
+			if !e.Moving() {
+				continue
+			}
+			name := sliceName{service: v, start: e.Start}
+			current[name] = true
+			if h := k.handovers[name]; h == nil || h.fence != e.Fence || h.owner != e.Owner {
+				owner, _ := s.Upstream(e.Owner)
+				k.handovers[name] = &handover{owner: e.Owner, fence: e.Fence, needHeld: owner.GrantsVersion,
+					needTable: s.Version(), since: now}
+			}
+		}
+	}
+	for name := range k.handovers {
+		if !current[name] {
+			delete(k.handovers, name)
+		}
+	}
+}
+
+// RenewEntry renews the lease of an entry host; an incarnation that is not in the state, or whose end is already
+// proposed, gets none.
+func (k *Keeper) RenewEntry(now time.Duration, r table.Renewal) (joined bool) {
+	l := k.entries[r.Host.Name]
+	if l == nil || l.incarnation != r.Host.Incarnation || l.condemned {
+		return false
+	}
+	l.renewedAt = now
+	l.applied, l.oldest = max(l.applied, r.Applied), max(l.oldest, r.Oldest)
+	return true
+}
+
+// RenewUpstream renews an upstream's lease and returns its grants where they are not those it holds.
+func (k *Keeper) RenewUpstream(now time.Duration, s *state.State, a table.Announcement) (g table.GrantAnswer) {
+	g = table.GrantAnswer{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Status: table.GrantStale}
+	u, ok := s.UpstreamNamed(a.Name)
+	if !ok || u.Incarnation < a.Incarnation {
+		if a.Incarnation > s.NewestIncarnation(a.Name) {
+			g.Status = table.GrantJoining
+		}
+		return g
+	}
+	l := k.upstreams[u.Number]
+	if u.Incarnation != a.Incarnation || l == nil || l.condemned {
+		return g
+	}
+	if a.Sequence <= l.sequence {
+		g.Status, g.Reason = table.GrantRefused, "a later announcement was seen"
+		return g
+	}
+	l.renewedAt, l.sequence, l.held = now, a.Sequence, max(l.held, a.Held)
+	l.healthy, l.load = a.Healthy, a.Load
+	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, k.terms.lease.Milliseconds(), u.GrantsVersion
+	g.Draining = s.Drained(u)
+	if a.Held != u.GrantsVersion {
+		g.Changed, g.Grants = true, GrantsOf(s, u)
+	}
+	return g
+}
+
+// GrantsOf returns the runs of hashes that the upstream owns now; a slice that is being handed over is left out.
+func GrantsOf(s *state.State, u table.Upstream) (grants []table.Grant) {
+	set, _ := s.Table(u.Service)
+	for i := range set.Len() {
+		e := set.At(i)
+		if e.Owner != u.Number || e.Moving() {
+			continue
+		}
+		if n := len(grants); n > 0 && grants[n-1].Fence == e.Fence && grants[n-1].To+1 == e.Start {
+			grants[n-1].To = set.Last(i)
+			continue
+		}
+		grants = append(grants, table.Grant{From: e.Start, To: set.Last(i), Fence: e.Fence})
+	}
+	return grants
+}
+
+// Live reports whether the upstream's lease may still be running.
+func (k *Keeper) Live(now time.Duration, number uint32) bool {
+	l := k.upstreams[number]
+	return l != nil && !l.condemned && now-l.renewedAt < k.terms.surelyOver()
+}
+
+// Fresh reports whether the upstream has renewed within half a lease time, so that it may be given more.
+func (k *Keeper) Fresh(now time.Duration, number uint32) bool {
+	l := k.upstreams[number]
+	return l != nil && !l.condemned && now-l.renewedAt < k.terms.lease/2
+}
+
+// Healthy reports what the upstream last said of its own health; it may lag or mislead.
+func (k *Keeper) Healthy(number uint32) bool {
+	l := k.upstreams[number]
+	return l != nil && l.healthy
+}
+
+// EntryLive reports whether the entry host's lease may still be running.
+func (k *Keeper) EntryLive(now time.Duration, name string) bool {
+	l := k.entries[name]
+	return l != nil && now-l.renewedAt < k.terms.surelyOver()
+}
+
+// EntryApplied returns the table version that the entry host said it applied.
+func (k *Keeper) EntryApplied(name string) uint64 {
+	if l := k.entries[name]; l != nil {
+		return l.applied
+	}
+	return 0
+}
+
+// Handovers returns how many slices wait for their owner to let go.
+func (k *Keeper) Handovers() int { return len(k.handovers) }
+
+// Due returns the commands that the passing of time allows: entry hosts and upstreams whose leases are surely over,
+// and slices whose handover is complete. What is returned counts as proposed.
+func (k *Keeper) Due(now time.Duration, s *state.State) (commands []state.Command) {
+	for name, l := range k.entries {
+		if !l.condemned && now-l.renewedAt >= k.terms.surelyOver() {
+			l.condemned = true
+			commands = append(commands, state.Command{DropEntry: &state.DropEntry{Name: name, Incarnation: l.incarnation}})
+		}
+	}
+	for _, u := range s.Upstreams() {
+		l := k.upstreams[u.Number]
+		if l == nil || l.condemned || now-l.renewedAt < k.terms.surelyOver() {
+			continue
+		}
+		if u.ChecksFence || k.tableSettled(now, s, u) {
+			l.condemned = true
+			commands = append(commands, state.Command{DropUpstream: &state.DropUpstream{Number: u.Number}})
+		}
+	}
+	if operations := k.finishable(now, s); len(operations) > 0 {
+		commands = append(commands, state.Command{Plan: &state.Plan{Operations: operations}})
+	}
+	return commands
+}
+
+// tableSettled reports whether no entry host can still send to an unchecking upstream: each of its slices is being
+// handed over and that is known everywhere.
+func (k *Keeper) tableSettled(now time.Duration, s *state.State, u table.Upstream) bool {
+	set, _ := s.Table(u.Service)
+	for i := range set.Len() {
+		e := set.At(i)
+		if e.Owner != u.Number {
+			continue
+		}
+		h := k.handovers[sliceName{service: u.Service, start: e.Start}]
+		if !e.Moving() || h == nil || !k.entriesPast(now, h.needTable) {
+			return false
+		}
+	}
+	return true
+}
+
+// entriesPast reports whether every request that was sent by a table older than the version has ended.
+func (k *Keeper) entriesPast(now time.Duration, version uint64) bool {
+	if now < k.ghostsGone {
+		return false
+	}
+	for _, l := range k.entries {
+		if l.oldest < version {
+			return false
+		}
+	}
+	return true
+}
+
+// finishable returns the handovers whose old owner has surely let go.
+func (k *Keeper) finishable(now time.Duration, s *state.State) (operations []state.Operation) {
+	for name, h := range k.handovers {
+		set, ok := s.Table(name.service)
+		if !ok {
+			continue
+		}
+		e, ok := set.StartsAt(name.start)
+		if !ok || !e.Moving() || e.Fence != h.fence || !k.released(now, s, h) {
+			continue
+		}
+		operations = append(operations, state.Operation{Kind: state.Finish, Service: name.service, Start: e.Start,
+			Fence: e.Fence, To: e.Next})
+	}
+	return operations
+}
+
+// released reports whether the old owner of a handover acknowledged the revoke or has surely lost its lease, and, where
+// it does not check fences, whether no request can still reach it.
+func (k *Keeper) released(now time.Duration, s *state.State, h *handover) bool {
+	owner, ok := s.Upstream(h.owner)
+	l := k.upstreams[h.owner]
+	if !ok || l == nil {
+		return true
+	}
+	if l.held < h.needHeld && now-l.renewedAt < k.terms.surelyOver() {
+		return false
+	}
+	return owner.ChecksFence || k.entriesPast(now, h.needTable)
+}
--- /dev/null
+++ b/internal/control/group/group.go
@@ -0,0 +1,362 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/control/grant"
+	"ebonyrill.dev/ebonyrill/internal/control/state"
+	"ebonyrill.dev/ebonyrill/internal/control/store"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Periods and bounds of a control host's loop.
+const (
+	tickPeriod         = 10 * time.Millisecond
+	dutyPeriod         = 20 * time.Millisecond
+	inboxLength        = 4096
+	requestsLength     = 4096
+	snapshotEveryBytes = 8 << 20
+	snapshotEvery      = 5000
+)
+
+// Options describe a control host.
+type Options struct {
+	Name       string
+	Address    string
+	DataCentre string
+	Folder     string
+	Terms      grant.Terms
+	Timing     agree.Timing
+	Client     *wire.Client
+	Log        *events.Log
+}
+
+// Group is one control host; its state belongs to the goroutine of Run.
+type Group struct {
+	options  Options
+	store    *store.Store
+	core     *agree.Core
+	state    *state.State
+	lead     *lead
+	peers    *peers
+	start    time.Time
+	nextDuty time.Duration
+	inbox    chan agree.Message
+	requests chan func()
+	waiters  map[uint64]waiter
+	watchers map[chan struct{}]bool
+	seen     uint64
+	role     agree.Role
+	stop     chan struct{}
+	done     chan struct{}
+}
+
+// waiter is a proposal that waits to be applied.
+type waiter struct {
+	term   uint64
+	answer chan proposalAnswer
+}
+
+// proposalAnswer is what became of a proposal.
+type proposalAnswer struct {
+	result state.Result
+	err    error
+}
+
+// Open opens the data folder and restores what it holds.
+func Open(o Options) (g *Group, err error) {
+	defer func() { err = errors.WithMessage(err, "open control host") }()
+	g = &Group{options: o, start: time.Now(), inbox: make(chan agree.Message, inboxLength),
+		requests: make(chan func(), requestsLength), waiters: map[uint64]waiter{}, watchers: map[chan struct{}]bool{},
+		stop: make(chan struct{}), done: make(chan struct{}), state: state.New()}
+	g.peers = newPeers(o.Client)
+	newID := func() agree.ReplicaID { return agree.ReplicaID(rand.Uint64() | 1) }
+	if g.store, err = store.Open(o.Folder, newID); err != nil {
+		return nil, err
+	}
+	if g.store.Joined() {
+		return g, g.restore()
+	}
+	return g, nil
+}
+
+// restore builds core and state from the data folder.
+func (g *Group) restore() (err error) {
+	s := g.store.Snapshot()
+	if g.state, err = state.Decode(s.Data); err != nil {
+		return err
+	}
+	random := rand.New(rand.NewPCG(uint64(g.store.ID()), uint64(time.Now().UnixNano())))
+	g.core = agree.New(g.store.ID(), g.options.Timing, random, g.now(), g.store.Hard(), s, g.store.Tail())
+	g.options.Log.Write(events.GroupJoined, zap.Uint64("replica", uint64(g.store.ID())))
+	return nil
+}
+
+// Run serves until Stop is called or the disk fails.
+func (g *Group) Run() (err error) {
+	defer func() { err = errors.WithMessage(err, "control host") }()
+	defer close(g.done)
+	defer func() { _ = g.store.Close() }()
+	defer g.peers.stop()
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return nil
+		case m := <-g.inbox:
+			err = g.receive(m)
+		case f := <-g.requests:
+			f()
+		case <-ticker.C:
+			err = g.tick()
+		}
+		if err == nil {
+			err = g.perform()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// Stop ends Run and waits for it.
+func (g *Group) Stop() {
+	select {
+	case <-g.stop:
+	default:
+		close(g.stop)
+	}
+	<-g.done
+}
+
+// now is the host's monotonic time.
+func (g *Group) now() time.Duration { return time.Since(g.start) + time.Millisecond }
+
+// do runs a function in the loop and waits for it.
+func (g *Group) do(ctx context.Context, f func()) (err error) {
+	finished := make(chan struct{})
+	select {
+	case g.requests <- func() { f(); close(finished) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.done:
+		return &wire.ErrNoLeader{}
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-g.done:
+		return &wire.ErrNoLeader{}
+	}
+}
+
+func (g *Group) receive(m agree.Message) (err error) {
+	if g.core == nil {
+		if m.To != g.store.ID() {
+			return nil
+		}
+		if err = g.store.Join(); err != nil {
+			return err
+		}
+		if err = g.restore(); err != nil {
+			return err
+		}
+	}
+	g.core.Step(g.now(), m)
+	return nil
+}
+
+func (g *Group) tick() (err error) {
+	if g.core == nil {
+		return nil
+	}
+	now := g.now()
+	g.core.Tick(now)
+	if now < g.nextDuty {
+		return nil
+	}
+	g.nextDuty = now + dutyPeriod
+	if err = g.perform(); err != nil {
+		return err
+	}
+	g.duties(now)
+	return g.compact()
+}
+
+// perform carries out the core's effects in the order persist, send, apply.
+func (g *Group) perform() (err error) {
+	if g.core == nil {
+		return nil
+	}
+	out := g.core.Take()
+	if out.Install != nil {
+		if err = g.install(*out.Install); err != nil {
+			return err
+		}
+	}
+	if err = g.store.Save(out.Hard, out.Append); err != nil {
+		return err
+	}
+	g.peers.send(g.core.Members(), out.Messages)
+	for _, e := range out.Committed {
+		if err = g.apply(e); err != nil {
+			return err
+		}
+	}
+	g.noteRole()
+	g.wakeWatchers()
+	return nil
+}
+
+func (g *Group) install(s agree.Snapshot) (err error) {
+	if err = g.store.SaveSnapshot(s); err != nil {
+		return err
+	}
+	if g.state, err = state.Decode(s.Data); err != nil {
+		return err
+	}
+	g.options.Log.Write(events.SnapshotTaken, zap.Uint64("index", s.Index))
+	return nil
+}
+
+func (g *Group) apply(e agree.Entry) (err error) {
+	var result state.Result
+	if e.Kind == agree.EntryCommand {
+		if result, err = g.state.Apply(e.Index, e.Data); err != nil {
+			return err
+		}
+	} else {
+		g.state.Skip(e.Index)
+	}
+	w, ok := g.waiters[e.Index]
+	if !ok {
+		return nil
+	}
+	delete(g.waiters, e.Index)
+	answer := proposalAnswer{result: result}
+	if w.term != e.Term {
+		answer = proposalAnswer{err: &oper.ErrOutcomeUnknown{}}
+	}
+	w.answer <- answer
+	return nil
+}
+
+// compact saves a snapshot once the log has grown.
+func (g *Group) compact() (err error) {
+	if g.store.LogBytes() < snapshotEveryBytes && g.state.Index() < g.core.SnapshotIndex()+snapshotEvery {
+		return nil
+	}
+	if g.state.Index() <= g.core.SnapshotIndex() {
+		return nil
+	}
+	data, err := g.state.Encode()
+	if err != nil {
+		return err
+	}
+	s, ok := g.core.SnapshotAt(g.state.Index(), data)
+	if !ok {
+		return nil
+	}
+	if err = g.store.SaveSnapshot(s); err != nil {
+		return err
+	}
+	g.core.Compact(s)
+	g.options.Log.Write(events.SnapshotSaved, zap.Uint64("index", s.Index), zap.Int("bytes", len(data)))
+	return nil
+}
+
+func (g *Group) noteRole() {
+	if role := g.core.Role(); role != g.role {
+		g.role = role
+		g.options.Log.Write(events.RoleChanged, zap.Stringer("role", role), zap.Uint64("term", g.core.Term()))
+	}
+	if g.core.Role() != agree.Leader && len(g.waiters) > 0 {
+		g.failWaiters()
+	}
+}
+
+// failWaiters tells proposers that leadership was lost; what they proposed may still be decided.
+func (g *Group) failWaiters() {
+	for index, w := range g.waiters {
+		w.answer <- proposalAnswer{err: &oper.ErrOutcomeUnknown{}}
+		delete(g.waiters, index)
+	}
+}
+
+func (g *Group) wakeWatchers() {
+	if g.state.Version() == g.seen {
+		return
+	}
+	g.seen = g.state.Version()
+	for w := range g.watchers {
+		close(w)
+		delete(g.watchers, w)
+	}
+}
+
+// propose appends a command; it must run in the loop. The answer channel may be nil.
+func (g *Group) propose(c state.Command, answer chan proposalAnswer) (index uint64, err error) {
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		return 0, err
+	}
+	index, term, err := g.core.Propose(g.now(), data)
+	if err != nil {
+		return 0, g.notLeading()
+	}
+	if answer != nil {
+		g.waiters[index] = waiter{term: term, answer: answer}
+	}
+	return index, nil
+}
+
+// notLeading returns the error that points to the leader this host follows.
+func (g *Group) notLeading() error {
+	if g.core == nil {
+		return &wire.ErrNoLeader{}
+	}
+	r, _ := g.core.Members().Find(g.core.LeaderID())
+	return &wire.ErrNoLeader{Leader: r.Address}
+}
+
+// leading returns the leader's duties if the lease is valid at this very moment.
+func (g *Group) leading() (l *lead, err error) {
+	if g.core == nil || g.lead == nil || g.lead.term != g.core.Term() || !g.core.LeaseValid(g.now()) {
+		return nil, g.notLeading()
+	}
+	return g.lead, nil
+}
+
+// decide proposes a command and waits until it is applied.
+func (g *Group) decide(ctx context.Context, c state.Command) (r state.Result, err error) {
+	answer := make(chan proposalAnswer, 1)
+	err = g.do(ctx, func() {
+		if _, e := g.leading(); e != nil {
+			answer <- proposalAnswer{err: e}
+			return
+		}
+		if _, e := g.propose(c, answer); e != nil {
+			answer <- proposalAnswer{err: e}
+		}
+	})
+	if err != nil {
+		return r, err
+	}
+	select {
+	case a := <-answer:
+		return a.result, a.err
+	case <-ctx.Done():
+		return r, &oper.ErrOutcomeUnknown{}
+	case <-g.done:
+		return r, &oper.ErrOutcomeUnknown{}
+	}
+}
--- /dev/null
+++ b/internal/control/group/lead.go
@@ -0,0 +1,273 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/control/grant"
+	"ebonyrill.dev/ebonyrill/internal/control/place"
+	"ebonyrill.dev/ebonyrill/internal/control/state"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Periods of the leader's duties.
+const (
+	planPeriod   = time.Second
+	gatherPeriod = 500 * time.Millisecond
+	settledAge   = -time.Hour
+	flapMemory   = 10 * time.Minute
+	lostMemory   = time.Hour
+)
+
+// lead is what a host does while it leads; it ends with the leadership.
+type lead struct {
+	term      uint64
+	keeper    *grant.Keeper
+	services  map[string]*serviceDuty
+	upstreams map[uint32]*upstreamNote
+	losses    []loss
+	lost      map[string]lostEntry
+	followed  uint64
+	pending   uint64
+	joining   map[string]uint64
+	health    *place.Health
+	moved     float64
+}
+
+// serviceDuty is what the leader keeps for one service.
+type serviceDuty struct {
+	policy  *place.Weighted
+	loads   *place.Loads
+	planAt  time.Duration
+	orphans int
+	owned   map[uint32]int
+	readyAt time.Duration
+	virgin  bool
+}
+
+// upstreamNote is what the leader remembers of an upstream.
+type upstreamNote struct {
+	name     string
+	joinedAt time.Duration
+}
+
+// loss is a lease that an upstream lost.
+type loss struct {
+	name string
+	at   time.Duration
+}
+
+// lostEntry is an entry host that lost its lease and has not come back.
+type lostEntry struct {
+	host table.EntryHost
+	at   time.Duration
+}
+
+func newLead(term uint64, terms grant.Terms, now time.Duration, s *state.State) *lead {
+	l := &lead{term: term, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
+		upstreams: map[uint32]*upstreamNote{}, lost: map[string]lostEntry{},
+		joining: map[string]uint64{}, health: place.NewHealth()}
+	for _, u := range s.Upstreams() {
+		l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: settledAge}
+	}
+	l.follow(now, s)
+	return l
+}
+
+// duties runs what the leader owes at a moment, if it leads.
+func (g *Group) duties(now time.Duration) {
+	if !g.core.LeaseValid(now) {
+		if g.core.Role() != agree.Leader {
+			g.lead = nil
+		}
+		return
+	}
+	if g.lead == nil || g.lead.term != g.core.Term() {
+		g.lead = newLead(g.core.Term(), g.options.Terms, now, g.state)
+		g.options.Log.Write(events.Leading, zap.Uint64("term", g.core.Term()))
+	}
+	l := g.lead
+	l.follow(now, g.state)
+	for _, c := range l.keeper.Due(now, g.state) {
+		g.logDue(c)
+		g.proposeDuty(c)
+	}
+	if g.state.Index() < l.pending {
+		return
+	}
+	if operations := l.plan(now, g.state); len(operations) > 0 {
+		g.options.Log.Write(events.SlicesPlanned, zap.Int("operations", len(operations)))
+		g.proposeDuty(state.Command{Plan: &state.Plan{Operations: operations}})
+	}
+}
+
+func (g *Group) logDue(c state.Command) {
+	switch {
+	case c.DropUpstream != nil:
+		u, _ := g.state.Upstream(c.DropUpstream.Number)
+		g.options.Log.Write(events.UpstreamLost, zap.String("upstream", u.Name), zap.Uint64("incarnation", u.Incarnation))
+	case c.DropEntry != nil:
+		e, _ := g.state.Entry(c.DropEntry.Name)
+		g.lead.lost[e.Name] = lostEntry{host: e, at: g.now()}
+		g.options.Log.Write(events.EntryLost, zap.String("entry", e.Name))
+	}
+}
+
+// proposeDuty proposes a command of the leader's own; planning waits until it is applied.
+func (g *Group) proposeDuty(c state.Command) {
+	index, err := g.propose(c, nil)
+	if err != nil {
+		g.options.Log.Write(events.ProposalLost, events.Cause(err))
+		return
+	}
+	g.lead.pending = index
+}
+
+// follow brings the leader's notes in line with the state.
+func (l *lead) follow(now time.Duration, s *state.State) {
+	if l.followed == s.Index() && l.followed != 0 {
+		return
+	}
+	l.followed = s.Index()
+	l.keeper.Follow(now, s)
+	l.followUpstreams(now, s)
+	l.followEntries(now, s)
+	l.followServices(now, s)
+}
+
+func (l *lead) followUpstreams(now time.Duration, s *state.State) {
+	for _, u := range s.Upstreams() {
+		if l.upstreams[u.Number] == nil {
+			l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: now}
+		}
+	}
+	for number, n := range l.upstreams {
+		if _, ok := s.Upstream(number); !ok {
+			l.losses = append(l.losses, loss{name: n.name, at: now})
+			delete(l.upstreams, number)
+		}
+	}
+	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool { return now-x.at > flapMemory })
+	for name, incarnation := range l.joining {
+		if s.NewestIncarnation(name) >= incarnation {
+			delete(l.joining, name)
+		}
+	}
+}
+
+func (l *lead) followEntries(now time.Duration, s *state.State) {
+	for _, e := range s.Entries() {
+		delete(l.joining, entryKey(e.Name))
+	}
+	for name, e := range l.lost {
+		if back, ok := s.Entry(name); ok && back.JoinedAt > e.host.JoinedAt || now-e.at > lostMemory {
+			delete(l.lost, name)
+		}
+	}
+}
+
+func (l *lead) followServices(now time.Duration, s *state.State) {
+	for _, v := range s.Services() {
+		d := l.services[v.Name()]
+		if d == nil {
+			d = &serviceDuty{policy: place.NewWeighted(), loads: place.NewLoads()}
+			l.services[v.Name()] = d
+		}
+		set, _ := s.Table(v.Name())
+		d.loads.Follow(now, set)
+		d.orphans, d.owned = 0, map[uint32]int{}
+		for i := range set.Len() {
+			e := set.At(i)
+			if e.Owner == 0 {
+				d.orphans++
+			} else if !e.Moving() {
+				d.owned[e.Owner]++
+			}
+		}
+		d.virgin = d.orphans == set.Len()
+	}
+}
+
+// plan returns the operations of all services that are due.
+func (l *lead) plan(now time.Duration, s *state.State) (operations []state.Operation) {
+	for _, v := range s.Services() {
+		d := l.services[v.Name()]
+		if d == nil {
+			continue
+		}
+		members := l.members(now, s, v.Name(), v.MaxEjectShare())
+		if !d.due(now, members) {
+			continue
+		}
+		d.planAt = now + planPeriod
+		set, _ := s.Table(v.Name())
+		view := place.NewView(v.Name(), set, d.loads.Rates(now, set), members, d.loads.Hot(now), v.Weights())
+		operations = append(operations, d.policy.Plan(now, view)...)
+	}
+	for _, o := range operations {
+		if set, ok := s.Table(o.Service); ok && (o.Kind == state.Begin || o.Kind == state.Assign) {
+			l.moved += set.Share(set.Position(o.Start))
+		}
+	}
+	return operations
+}
+
+// due reports whether a plan is wanted now; a service that never had an owner waits a little for more upstreams.
+func (d *serviceDuty) due(now time.Duration, members []place.Member) bool {
+	ready := slices.ContainsFunc(members, func(m place.Member) bool { return m.State() == place.Ready })
+	if !ready {
+		d.readyAt = now
+		return false
+	}
+	if d.virgin && now-d.readyAt < gatherPeriod {
+		return false
+	}
+	urgent := d.orphans > 0 || slices.ContainsFunc(members, func(m place.Member) bool {
+		leaving := m.State() == place.Leaving || m.State() == place.Gone
+		return leaving && d.owned[m.Number()] > 0
+	})
+	return urgent || now >= d.planAt
+}
+
+// members returns the upstreams of a service as placement sees them; at most a share of them is avoided for failures.
+func (l *lead) members(now time.Duration, s *state.State, service string, ejectShare float64) (members []place.Member) {
+	total, avoided := 0, 0
+	for _, u := range s.Upstreams() {
+		if u.Service == service {
+			total++
+		}
+	}
+	for _, u := range s.Upstreams() {
+		if u.Service != service {
+			continue
+		}
+		m := place.Ready
+		switch {
+		case !l.keeper.Live(now, u.Number) && !u.ChecksFence:
+			m = place.Gone
+		case s.Drained(u):
+			m = place.Leaving
+		case l.health.Failing(now, u.Number) && float64(avoided+1) <= ejectShare*float64(total):
+			m = place.Leaving
+			avoided++
+		case !l.keeper.Fresh(now, u.Number):
+			m = place.Silent
+		}
+		note := l.upstreams[u.Number]
+		members = append(members, place.NewMember(u.Number, float64(u.Slots), m, note.joinedAt, l.flaps(u.Name)))
+	}
+	return members
+}
+
+func (l *lead) flaps(name string) (n int) {
+	for _, x := range l.losses {
+		if x.name == name {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/control/place/weighted.go
@@ -0,0 +1,262 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/control/state"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+)
+
+// Tuning of the weighted policy. Loads are shares of a service's load, so that they add up to one.
+const (
+	spaceShare        = 0.03
+	startExcess       = 0.10
+	stopExcess        = 0.04
+	maxExcess         = 0.14
+	isolateShare      = 0.2
+	splitShare        = 0.35
+	mergeShare        = 0.02
+	maxMovesPerPlan   = 48
+	maxSplitsPerPlan  = 8
+	maxMergesPerPlan  = 16
+	slicesPerMember   = 64
+	churnPerMinute    = 0.25
+	moveTimeShare     = 0.02
+	holdTime          = 20 * time.Second
+	mergeHoldTime     = 60 * time.Second
+	rampTime          = 20 * time.Second
+	rampStart         = 0.3
+	maxFlaps          = 4
+	smallestMoveShare = 1e-12
+)
+
+// Weighted moves the slices with the most benefit for the least churn, within a churn budget, splits slices that are
+// too hot to move, isolates hot keys, and merges what has cooled.
+type Weighted struct {
+	moved    map[uint64]time.Duration
+	split    map[uint64]time.Duration
+	budget   float64
+	budgetAt time.Duration
+	active   bool
+}
+
+// NewWeighted returns the policy for one service.
+func NewWeighted() *Weighted {
+	return &Weighted{moved: map[uint64]time.Duration{}, split: map[uint64]time.Duration{}, budget: churnPerMinute}
+}
+
+// bearer is an upstream with the load it will bear once all moves are done.
+type bearer struct {
+	member *Member
+	target float64
+	load   float64
+	owned  []int
+}
+
+func (b *bearer) relative() float64 { return b.load / b.target }
+
+// plan is one run of the policy.
+type plan struct {
+	view       View
+	now        time.Duration
+	loads      []float64
+	bearers    map[uint32]*bearer
+	ready      []*bearer
+	operations []state.Operation
+	taken      map[int]bool
+	policy     *Weighted
+}
+
+// Plan returns the operations that bring the service nearer to balance.
+func (w *Weighted) Plan(now time.Duration, view View) []state.Operation {
+	p := w.prepare(now, view)
+	if len(p.ready) == 0 {
+		return nil
+	}
+	p.placeOrphans()
+	p.emptyLeaving()
+	p.isolate()
+	p.rebalance()
+	p.merge()
+	return p.operations
+}
+
+func (w *Weighted) prepare(now time.Duration, view View) *plan {
+	w.refill(now, view.weights)
+	p := &plan{view: view, now: now, bearers: map[uint32]*bearer{}, taken: map[int]bool{}, policy: w}
+	p.loads = sliceLoads(view)
+	total := 0.0
+	for i := range view.members {
+		m := &view.members[i]
+		b := &bearer{member: m}
+		p.bearers[m.number] = b
+		if m.state == Ready || m.state == Silent {
+			b.target = m.capacity * ramp(now, m)
+			total += b.target
+		}
+		if m.state == Ready {
+			p.ready = append(p.ready, b)
+		}
+	}
+	for _, b := range p.bearers {
+		b.target = max(b.target/max(total, 1e-9), 1e-9)
+	}
+	for i := range p.loads {
+		if b := p.bearers[planned(view.set.At(i))]; b != nil {
+			b.load += p.loads[i]
+			b.owned = append(b.owned, i)
+		}
+	}
+	return p
+}
+
+// sliceLoads returns each slice's share of the service's load; key space counts a little, so that cold slices spread.
+func sliceLoads(v View) []float64 {
+	total := 0.0
+	for _, r := range v.rates {
+		total += r
+	}
+	loads := make([]float64, v.set.Len())
+	for i := range loads {
+		if total < 1 {
+			loads[i] = v.set.Share(i)
+			continue
+		}
+		loads[i] = (1-spaceShare)*v.rates[i]/total + spaceShare*v.set.Share(i)
+	}
+	return loads
+}
+
+// ramp returns the part of its capacity that a cold upstream is trusted with.
+func ramp(now time.Duration, m *Member) float64 {
+	flaps := min(m.flaps, maxFlaps)
+	length := rampTime << flaps
+	age := now - m.joinedAt
+	if age >= length {
+		return 1
+	}
+	start := rampStart / float64(1+flaps)
+	return start + (1-start)*float64(max(age, 0))/float64(length)
+}
+
+func (w *Weighted) refill(now time.Duration, weights conf.Weights) {
+	most := churnPerMinute / max(weights.Churn(), 0.25)
+	w.budget = min(most, w.budget+most*float64(now-w.budgetAt)/float64(time.Minute))
+	w.budgetAt = now
+	for start, at := range w.moved {
+		if now-at > holdTime {
+			delete(w.moved, start)
+		}
+	}
+	for start, at := range w.split {
+		if now-at > mergeHoldTime {
+			delete(w.split, start)
+		}
+	}
+}
+
+// lightest returns the ready upstream that bears least for its capacity.
+func (p *plan) lightest() *bearer {
+	return slices.MinFunc(p.ready, func(a, b *bearer) int {
+		return cmp.Or(cmp.Compare(a.relative(), b.relative()), cmp.Compare(a.member.number, b.member.number))
+	})
+}
+
+// give plans the slice's move and counts its load on the new side at once.
+func (p *plan) give(i int, to *bearer) {
+	e := p.view.set.At(i)
+	o, ok := p.view.moveTo(e, to.member.number)
+	if !ok {
+		return
+	}
+	if from := p.bearers[planned(e)]; from != nil {
+		from.load -= p.loads[i]
+	}
+	to.load += p.loads[i]
+	p.taken[i] = true
+	p.policy.moved[e.Start] = p.now
+	p.operations = append(p.operations, o)
+}
+
+// hottestFirst orders slice positions by load.
+func (p *plan) hottestFirst(positions []int) []int {
+	ordered := slices.Clone(positions)
+	slices.SortStableFunc(ordered, func(a, b int) int { return cmp.Compare(p.loads[b], p.loads[a]) })
+	return ordered
+}
+
+// placeOrphans gives every slice without owner a new one at once, the hottest first.
+func (p *plan) placeOrphans() {
+	var orphans []int
+	for i := range p.loads {
+		if p.view.set.At(i).Owner == 0 {
+			orphans = append(orphans, i)
+		}
+	}
+	for _, i := range p.hottestFirst(orphans) {
+		p.give(i, p.lightest())
+	}
+}
+
+// emptyLeaving hands over all that leaving and gone upstreams have, the hottest first.
+func (p *plan) emptyLeaving() {
+	var leaving []int
+	for _, b := range p.bearers {
+		if b.member.state == Leaving || b.member.state == Gone {
+			leaving = append(leaving, b.owned...)
+		}
+	}
+	slices.Sort(leaving)
+	for _, i := range p.hottestFirst(leaving) {
+		p.give(i, p.lightest())
+	}
+}
+
+// mean returns the load that an upstream of average capacity should bear.
+func (p *plan) mean() float64 { return 1 / float64(len(p.ready)) }
+
+// isolate cuts a hot key that draws a fair part of one upstream's load out of its slice.
+func (p *plan) isolate() {
+	total := 0.0
+	for _, r := range p.view.rates {
+		total += r
+	}
+	splits := 0
+	for _, k := range p.view.hot {
+		if total < 1 || k.rate/total < isolateShare*p.mean() || splits >= maxSplitsPerPlan {
+			continue
+		}
+		i := p.view.set.Position(k.hash)
+		e := p.view.set.At(i)
+		if p.taken[i] || e.Moving() || (e.Start == k.hash && p.view.set.Last(i) == k.hash) {
+			continue
+		}
+		p.cutOut(i, e, k.hash)
+		splits++
+	}
+}
+
+// cutOut splits a slice before and behind one hash.
+func (p *plan) cutOut(i int, e slice.Slice, hash uint64) {
+	last := p.view.set.Last(i)
+	if e.Start < hash {
+		p.splitAt(e, hash)
+	}
+	if hash < last {
+		middle := e
+		middle.Start = hash
+		p.splitAt(middle, hash+1)
+	}
+	p.taken[i] = true
+}
+
+func (p *plan) splitAt(e slice.Slice, at uint64) {
+	o := p.view.operation(state.Split, e, 0)
+	o.At = at
+	p.policy.split[at] = p.now
+	p.policy.split[e.Start] = p.now
+	p.operations = append(p.operations, o)
+}
--- /dev/null
+++ b/internal/control/state/state.go
@@ -0,0 +1,330 @@
+package state
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Bounds of what the state remembers.
+const (
+	maxOutcomes    = 1024
+	maxJournal     = 1024
+	maxSeenNames   = 16384
+	maxSlicesTotal = 4 << 20
+)
+
+// State is the replicated state; it is not safe for concurrent use.
+type State struct {
+	index        uint64
+	version      uint64
+	config       table.Config
+	services     []*conf.Service
+	outcomes     []table.Outcome
+	outcomeFloor string
+	upstreams    []table.Upstream
+	nextNumber   uint32
+	drained      []string
+	seen         []seenName
+	entries      []table.EntryHost
+	tables       []serviceTable
+	upstreamsAt  uint64
+	entriesAt    uint64
+	journal      []journalEntry
+	journalFloor uint64
+	digest       uint64
+	digestAt     uint64
+}
+
+// serviceTable is the division of one service's hash space.
+type serviceTable struct {
+	name string
+	set  slice.Set
+}
+
+// seenName remembers the newest incarnation of an upstream name, so that a late announcement cannot revive an old one.
+type seenName struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	At          uint64 `cbor:"3,keyasint"`
+}
+
+// journalEntry is what one command changed in one service's table.
+type journalEntry struct {
+	version uint64
+	changes table.TableChanges
+}
+
+// New returns an empty state.
+func New() *State { return &State{nextNumber: 1} }
+
+// Apply makes the change that the log entry at index carries.
+func (s *State) Apply(index uint64, data []byte) (result Result, err error) {
+	defer func() { err = errors.WithMessagef(err, "apply entry %d", index) }()
+	var c Command
+	if err = wire.Unmarshal(data, &c); err != nil {
+		return Result{}, err
+	}
+	s.index = index
+	switch {
+	case c.Publish != nil:
+		return s.publish(*c.Publish), nil
+	case c.JoinUpstream != nil:
+		return s.joinUpstream(*c.JoinUpstream), nil
+	case c.DropUpstream != nil:
+		return s.dropUpstream(c.DropUpstream.Number)
+	case c.Drain != nil:
+		return s.drain(*c.Drain), nil
+	case c.JoinEntry != nil:
+		return s.joinEntry(*c.JoinEntry), nil
+	case c.DropEntry != nil:
+		return s.dropEntry(*c.DropEntry), nil
+	case c.Plan != nil:
+		return Result{}, s.plan(*c.Plan)
+	}
+	return Result{}, errors.New("unknown command")
+}
+
+// Skip notes an entry without a command.
+func (s *State) Skip(index uint64) { s.index = index }
+
+// Index returns the last applied log index.
+func (s *State) Index() uint64 { return s.index }
+
+// Version returns the index of the last change that entry hosts must see.
+func (s *State) Version() uint64 { return s.version }
+
+// Config returns the configuration in force.
+func (s *State) Config() table.Config { return s.config }
+
+// Services returns the services in force, parsed.
+func (s *State) Services() []*conf.Service { return s.services }
+
+// Service returns a service by name, or nil.
+func (s *State) Service(name string) *conf.Service {
+	for _, v := range s.services {
+		if v.Name() == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// Upstreams returns all upstreams ordered by number.
+func (s *State) Upstreams() []table.Upstream { return slices.Clone(s.upstreams) }
+
+// Upstream returns the upstream with the number.
+func (s *State) Upstream(number uint32) (u table.Upstream, ok bool) {
+	i, ok := s.upstreamPosition(number)
+	if !ok {
+		return table.Upstream{}, false
+	}
+	return s.upstreams[i], true
+}
+
+// UpstreamNamed returns the newest incarnation of a named upstream.
+func (s *State) UpstreamNamed(name string) (u table.Upstream, ok bool) {
+	for _, u := range slices.Backward(s.upstreams) {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return table.Upstream{}, false
+}
+
+// NewestIncarnation returns the newest incarnation ever joined under the name, or zero.
+func (s *State) NewestIncarnation(name string) uint64 {
+	for _, n := range s.seen {
+		if n.Name == name {
+			return n.Incarnation
+		}
+	}
+	return 0
+}
+
+// Entries returns all entry hosts ordered by name.
+func (s *State) Entries() []table.EntryHost { return slices.Clone(s.entries) }
+
+// Entry returns the entry host with the name.
+func (s *State) Entry(name string) (e table.EntryHost, ok bool) {
+	for _, e := range s.entries {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return table.EntryHost{}, false
+}
+
+// Drained reports whether an operator or the upstream itself asked for its drain.
+func (s *State) Drained(u table.Upstream) bool {
+	return u.Leaving || slices.Contains(s.drained, u.Name)
+}
+
+// Table returns the division of a service; one withdrawn keeps its owners, so that it can come back without a gap.
+func (s *State) Table(service string) (set slice.Set, ok bool) {
+	t := s.table(service)
+	if t == nil {
+		return slice.Set{}, false
+	}
+	return t.set, true
+}
+
+// TableNames returns the names of all services that ever had slices.
+func (s *State) TableNames() (names []string) {
+	for _, t := range s.tables {
+		names = append(names, t.name)
+	}
+	return names
+}
+
+// Outcome returns what became of a publish id.
+func (s *State) Outcome(id string) (o table.Outcome, ok bool) {
+	for _, o := range s.outcomes {
+		if o.ID == id {
+			return o, true
+		}
+	}
+	return table.Outcome{}, false
+}
+
+func (s *State) table(service string) *serviceTable {
+	for i := range s.tables {
+		if s.tables[i].name == service {
+			return &s.tables[i]
+		}
+	}
+	return nil
+}
+
+func (s *State) upstreamPosition(number uint32) (int, bool) {
+	return slices.BinarySearchFunc(s.upstreams, number, func(u table.Upstream, n uint32) int {
+		return int(int64(u.Number) - int64(n))
+	})
+}
+
+// touchGrants notes that the grants of an upstream changed.
+func (s *State) touchGrants(number uint32) {
+	if i, ok := s.upstreamPosition(number); ok {
+		s.upstreams[i].GrantsVersion = s.index
+	}
+}
+
+// change applies slice changes to a service and notes them for entry hosts.
+func (s *State) change(t *serviceTable, changes []slice.Change) (err error) {
+	if len(changes) == 0 {
+		return nil
+	}
+	if t.set, err = t.set.Apply(changes); err != nil {
+		return err
+	}
+	s.note(table.TableChanges{Service: t.name, Changes: changes})
+	return nil
+}
+
+// note keeps what changed for entry hosts that are behind.
+func (s *State) note(changes table.TableChanges) {
+	s.version = s.index
+	s.journal = append(s.journal, journalEntry{version: s.index, changes: changes})
+	if len(s.journal) > maxJournal {
+		s.journalFloor = s.journal[len(s.journal)-maxJournal-1].version
+		s.journal = slices.Clone(s.journal[len(s.journal)-maxJournal:])
+	}
+}
+
+func (s *State) joinUpstream(u table.Upstream) Result {
+	if u.Incarnation <= s.NewestIncarnation(u.Name) {
+		if current, ok := s.UpstreamNamed(u.Name); ok && current.Incarnation == u.Incarnation {
+			return Result{Number: current.Number}
+		}
+		return Result{Refused: "a newer incarnation of " + u.Name + " was seen"}
+	}
+	u.Number, u.GrantsVersion = s.nextNumber, s.index
+	s.nextNumber++
+	s.upstreams = append(s.upstreams, u)
+	s.remember(u.Name, u.Incarnation)
+	s.version, s.upstreamsAt = s.index, s.index
+	return Result{Number: u.Number}
+}
+
+// remember notes an upstream's newest incarnation and forgets the names unseen for longest.
+func (s *State) remember(name string, incarnation uint64) {
+	s.seen = slices.DeleteFunc(s.seen, func(n seenName) bool { return n.Name == name })
+	s.seen = append(s.seen, seenName{Name: name, Incarnation: incarnation, At: s.index})
+	if len(s.seen) > maxSeenNames {
+		s.seen = slices.Clone(s.seen[1:])
+	}
+}
+
+// dropUpstream ends an incarnation: a slice it was handing over goes on to the next owner, the others lose theirs.
+func (s *State) dropUpstream(number uint32) (result Result, err error) {
+	i, ok := s.upstreamPosition(number)
+	if !ok {
+		return Result{Refused: "no such upstream"}, nil
+	}
+	t := s.table(s.upstreams[i].Service)
+	s.upstreams = slices.Delete(s.upstreams, i, i+1)
+	s.version, s.upstreamsAt = s.index, s.index
+	if t == nil {
+		return Result{}, nil
+	}
+	var changes []slice.Change
+	for _, e := range t.set.Slices() {
+		if e.Owner != number && e.Next != number {
+			continue
+		}
+		if e.Owner == number {
+			e.Owner = e.Next
+		}
+		e.Next, e.Fence = 0, s.index
+		s.touchGrants(e.Owner)
+		changes = append(changes, slice.Change{Slice: e})
+	}
+	return Result{}, s.change(t, changes)
+}
+
+func (s *State) drain(d Drain) Result {
+	if d.Self {
+		for i := range s.upstreams {
+			if s.upstreams[i].Name == d.Name {
+				s.upstreams[i].Leaving = d.On
+			}
+		}
+	} else {
+		s.drained = slices.DeleteFunc(s.drained, func(name string) bool { return name == d.Name })
+		if d.On {
+			s.drained = append(s.drained, d.Name)
+			slices.Sort(s.drained)
+		}
+	}
+	s.version, s.upstreamsAt = s.index, s.index
+	return Result{}
+}
+
+func (s *State) joinEntry(e table.EntryHost) Result {
+	if current, ok := s.Entry(e.Name); ok && current.Incarnation >= e.Incarnation {
+		return Result{Refused: "a newer incarnation of " + e.Name + " has joined"}
+	}
+	s.entries = slices.DeleteFunc(s.entries, func(o table.EntryHost) bool { return o.Name == e.Name })
+	e.JoinedAt = s.index
+	s.entries = append(s.entries, e)
+	slices.SortFunc(s.entries, func(a, b table.EntryHost) int { return strings.Compare(a.Name, b.Name) })
+	s.version, s.entriesAt = s.index, s.index
+	return Result{}
+}
+
+func (s *State) dropEntry(d DropEntry) Result {
+	before := len(s.entries)
+	s.entries = slices.DeleteFunc(s.entries, func(o table.EntryHost) bool {
+		return o.Name == d.Name && o.Incarnation == d.Incarnation
+	})
+	if len(s.entries) != before {
+		s.version, s.entriesAt = s.index, s.index
+	}
+	return Result{}
+}
--- /dev/null
+++ b/internal/control/store/store.go
@@ -0,0 +1,310 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+)
+
+// Names of the files in a data folder.
+const (
+	identityFile = "identity.json"
+	logFile      = "log"
+	snapshotFile = "snapshot"
+	lockFile     = "lock"
+)
+
+// Store is an open data folder; it is not safe for concurrent use.
+type Store struct {
+	folder   string
+	identity identity
+	log      *os.File
+	lock     *os.File
+	logBytes int64
+	hard     agree.HardState
+	snapshot agree.Snapshot
+	tail     []agree.Entry
+}
+
+// identity is the content of the identity file.
+type identity struct {
+	ReplicaID agree.ReplicaID `json:"replicaId"`
+	Joined    bool            `json:"joined"`
+}
+
+// Open reads the data folder, makes a new identity in an empty one, and cuts a torn tail off the log.
+func Open(folder string, newID func() agree.ReplicaID) (s *Store, err error) {
+	defer func() { err = errors.WithMessagef(err, "open data folder %s", folder) }()
+	if err = os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	s = &Store{folder: folder}
+	if err = s.acquireLock(); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			_ = s.Close()
+		}
+	}()
+	if err = s.loadIdentity(newID); err != nil {
+		return nil, err
+	}
+	if !s.identity.Joined {
+		return s, nil
+	}
+	if err = s.loadSnapshot(); err != nil {
+		return nil, err
+	}
+	return s, s.loadLog()
+}
+
+// Bootstrap makes the folder part of a group that starts from the members; it is refused once the folder has joined.
+func (s *Store) Bootstrap(members agree.Members) (err error) {
+	defer func() { err = errors.WithMessage(err, "bootstrap") }()
+	if s.identity.Joined {
+		return &ErrJoined{Folder: s.folder}
+	}
+	if err = s.writeSnapshot(agree.Snapshot{Index: 1, Term: 1, Members: members}); err != nil {
+		return err
+	}
+	if err = s.rewriteLog(agree.HardState{Term: 1}, nil); err != nil {
+		return err
+	}
+	return s.markJoined()
+}
+
+// Join makes the folder part of a group whose state will come by snapshot.
+func (s *Store) Join() (err error) {
+	defer func() { err = errors.WithMessage(err, "join") }()
+	if s.identity.Joined {
+		return nil
+	}
+	if err = s.writeSnapshot(agree.Snapshot{}); err != nil {
+		return err
+	}
+	if err = s.rewriteLog(agree.HardState{}, nil); err != nil {
+		return err
+	}
+	return s.markJoined()
+}
+
+// Save appends the entries and the hard state and syncs them; it returns only once they are on disk.
+func (s *Store) Save(hard *agree.HardState, entries []agree.Entry) (err error) {
+	defer func() { err = errors.WithMessage(err, "append to log") }()
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	buffer, err := encodeBatch(batch{Hard: hard, Entries: entries})
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		s.keep(e)
+	}
+	if hard != nil {
+		s.hard = *hard
+	}
+	n, err := s.log.Write(buffer)
+	s.logBytes += int64(n)
+	if err != nil {
+		return err
+	}
+	return s.log.Sync()
+}
+
+// SaveSnapshot puts the snapshot on disk and drops the log records that it replaces.
+func (s *Store) SaveSnapshot(snapshot agree.Snapshot) (err error) {
+	defer func() { err = errors.WithMessage(err, "save snapshot") }()
+	if err = s.writeSnapshot(snapshot); err != nil {
+		return err
+	}
+	return s.rewriteLog(s.hard, entriesBehind(s.tail, snapshot))
+}
+
+// entriesBehind returns the entries that still count behind the snapshot.
+func entriesBehind(tail []agree.Entry, snapshot agree.Snapshot) (kept []agree.Entry) {
+	for i, e := range tail {
+		if e.Index == snapshot.Index && e.Term == snapshot.Term {
+			return append(kept, tail[i+1:]...)
+		}
+	}
+	return nil
+}
+
+// ID returns the replica's identity.
+func (s *Store) ID() agree.ReplicaID { return s.identity.ReplicaID }
+
+// Joined reports whether the folder belongs to a group.
+func (s *Store) Joined() bool { return s.identity.Joined }
+
+// Hard returns the newest hard state.
+func (s *Store) Hard() agree.HardState { return s.hard }
+
+// Snapshot returns the newest snapshot.
+func (s *Store) Snapshot() agree.Snapshot { return s.snapshot }
+
+// Tail returns the entries behind the snapshot.
+func (s *Store) Tail() []agree.Entry { return append([]agree.Entry(nil), s.tail...) }
+
+// LogBytes returns the size of the log file.
+func (s *Store) LogBytes() int64 { return s.logBytes }
+
+// Close releases the folder.
+func (s *Store) Close() (err error) {
+	if s.log != nil {
+		err = s.log.Close()
+	}
+	if s.lock != nil {
+		_ = s.lock.Close()
+	}
+	return err
+}
+
+// keep mirrors what the file holds: an entry replaces all from its index on.
+func (s *Store) keep(e agree.Entry) {
+	for len(s.tail) > 0 && s.tail[len(s.tail)-1].Index >= e.Index {
+		s.tail = s.tail[:len(s.tail)-1]
+	}
+	s.tail = append(s.tail, e)
+}
+
+func (s *Store) loadIdentity(newID func() agree.ReplicaID) (err error) {
+	path := filepath.Join(s.folder, identityFile)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		s.identity = identity{ReplicaID: newID()}
+		return s.writeIdentity()
+	}
+	if err != nil {
+		return err
+	}
+	if json.Unmarshal(data, &s.identity) != nil || s.identity.ReplicaID == 0 {
+		return &ErrCorrupt{File: path}
+	}
+	return nil
+}
+
+func (s *Store) writeIdentity() (err error) {
+	data, err := json.Marshal(s.identity)
+	if err != nil {
+		return err
+	}
+	return writeFileSynced(s.folder, identityFile, data)
+}
+
+func (s *Store) markJoined() error {
+	s.identity.Joined = true
+	return s.writeIdentity()
+}
+
+func (s *Store) writeSnapshot(snapshot agree.Snapshot) (err error) {
+	payload, err := cbor.Marshal(snapshot)
+	if err != nil {
+		return err
+	}
+	if err = writeFileSynced(s.folder, snapshotFile, appendRecord(nil, recordSnapshot, payload)); err != nil {
+		return err
+	}
+	s.snapshot = snapshot
+	return nil
+}
+
+func (s *Store) loadSnapshot() (err error) {
+	path := filepath.Join(s.folder, snapshotFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	r, ok := decodeRecord(data)
+	if !ok || cbor.Unmarshal(r.payload, &s.snapshot) != nil {
+		return &ErrCorrupt{File: path}
+	}
+	return nil
+}
+
+// rewriteLog replaces the log file by one that holds just the given records.
+func (s *Store) rewriteLog(hard agree.HardState, tail []agree.Entry) (err error) {
+	buffer, err := encodeBatch(batch{Hard: &hard, Entries: tail})
+	if err != nil {
+		return err
+	}
+	if err = writeFileSynced(s.folder, logFile, buffer); err != nil {
+		return err
+	}
+	s.hard, s.tail, s.logBytes = hard, tail, int64(len(buffer))
+	return s.openLog()
+}
+
+func (s *Store) openLog() (err error) {
+	if s.log != nil {
+		_ = s.log.Close()
+	}
+	s.log, err = os.OpenFile(filepath.Join(s.folder, logFile), os.O_RDWR|os.O_APPEND, 0o600)
+	return err
+}
+
+func (s *Store) loadLog() (err error) {
+	path := filepath.Join(s.folder, logFile)
+	if err = s.openLog(); err != nil {
+		return err
+	}
+	data, err := io.ReadAll(s.log)
+	if err != nil {
+		return err
+	}
+	offset := 0
+	for offset < len(data) {
+		r, ok := decodeRecord(data[offset:])
+		if !ok {
+			break
+		}
+		if err = s.replay(r); err != nil {
+			return &ErrCorrupt{File: path, Offset: offset}
+		}
+		offset += r.size
+	}
+	s.logBytes = int64(offset)
+	s.connectTail()
+	if offset == len(data) {
+		return nil
+	}
+	if wholeRecordBehind(data[offset:]) {
+		return &ErrCorrupt{File: path, Offset: offset}
+	}
+	if err = s.log.Truncate(int64(offset)); err != nil {
+		return err
+	}
+	return s.log.Sync()
+}
+
+// connectTail drops entries that the snapshot replaced; a crash may have come before the log was rewritten.
+func (s *Store) connectTail() {
+	if len(s.tail) > 0 && s.tail[0].Index == s.snapshot.Index+1 {
+		return
+	}
+	s.tail = entriesBehind(s.tail, s.snapshot)
+}
+
+func (s *Store) replay(r record) (err error) {
+	if r.kind != recordBatch {
+		return errors.Errorf("unknown record kind %d", r.kind)
+	}
+	var b batch
+	if err = cbor.Unmarshal(r.payload, &b); err != nil {
+		return err
+	}
+	for _, e := range b.Entries {
+		s.keep(e)
+	}
+	if b.Hard != nil {
+		s.hard = *b.Hard
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/admit/queue.go
@@ -0,0 +1,249 @@
+package admit
+
+import (
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+)
+
+// Tuning of the estimate of service time.
+const (
+	averageWeight  = 0.1
+	initialAverage = 5 * time.Millisecond
+)
+
+// Ticket is one request that wants a slot.
+type Ticket struct {
+	class    conf.Class
+	caller   string
+	deadline time.Duration
+	payload  any
+}
+
+// NewTicket returns a request's ticket; the payload is handed back with it.
+func NewTicket(class conf.Class, caller string, deadline time.Duration, payload any) *Ticket {
+	return &Ticket{class: class, caller: caller, deadline: deadline, payload: payload}
+}
+
+// Payload returns what the ticket was made with.
+func (t *Ticket) Payload() any { return t.payload }
+
+// Verdict tells what becomes of an offered ticket.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Start means that the request has a slot.
+	Start Verdict = iota
+	// Wait means that the request is queued.
+	Wait
+	// Shed means that the request is turned away.
+	Shed
+)
+
+// lane is the queue of one caller within a class.
+type lane struct {
+	caller  string
+	tickets []*Ticket
+}
+
+// line is the queue of one class; callers take turns.
+type line struct {
+	lanes []*lane
+	count int
+}
+
+// Queue decides who may use an upstream's slots; it has no clock and no lock of its own.
+type Queue struct {
+	slots   int
+	limit   int
+	busy    int
+	waiting int
+	lines   [conf.ClassCount]line
+	average time.Duration
+}
+
+// NewQueue returns a queue for a number of slots that lets at most limit requests wait.
+func NewQueue(slots, limit int) *Queue {
+	return &Queue{slots: slots, limit: limit, average: initialAverage}
+}
+
+// Resize changes the slots and the bound of the queue.
+func (q *Queue) Resize(slots, limit int) { q.slots, q.limit = slots, limit }
+
+// Busy returns the slots in use.
+func (q *Queue) Busy() int { return q.busy }
+
+// Waiting returns the number of queued requests.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// Average returns the smoothed service time.
+func (q *Queue) Average() time.Duration { return q.average }
+
+// Offer takes in a request. When the queue is full a request of a lower class makes room, or one of the caller that
+// waits with the most; it is returned as displaced.
+func (q *Queue) Offer(now time.Duration, t *Ticket) (v Verdict, displaced *Ticket) {
+	if q.busy < q.slots && q.waiting == 0 {
+		q.busy++
+		return Start, nil
+	}
+	if now+q.expectedWait(t) > t.deadline {
+		return Shed, nil
+	}
+	if q.waiting >= q.limit {
+		if displaced = q.displace(t); displaced == nil {
+			return Shed, nil
+		}
+	}
+	q.push(t)
+	return Wait, displaced
+}
+
+// expectedWait estimates the time until an answer from those who go first and the smoothed service time.
+func (q *Queue) expectedWait(t *Ticket) time.Duration {
+	ahead := 0
+	for class := conf.Class(0); class < t.class; class++ {
+		ahead += q.lines[class].count
+	}
+	ahead += q.lines[t.class].turnsBefore(t.caller)
+	return q.average * time.Duration(ahead+q.slots) / time.Duration(max(q.slots, 1))
+}
+
+// turnsBefore counts the requests that are served before a new one of the caller when callers take turns.
+func (l *line) turnsBefore(caller string) (n int) {
+	own := 0
+	for _, a := range l.lanes {
+		if a.caller == caller {
+			own = len(a.tickets)
+		}
+	}
+	for _, a := range l.lanes {
+		n += min(len(a.tickets), own+1)
+	}
+	return n
+}
+
+// displace removes the newest request of the lowest class below the ticket's, or of the longest lane of its own class
+// where that lane is longer than the ticket's own would be.
+func (q *Queue) displace(t *Ticket) *Ticket {
+	for class := conf.ClassCount - 1; class > t.class; class-- {
+		if l := q.lines[class].longest(); l != nil {
+			return q.removeNewest(class, l)
+		}
+	}
+	longest := q.lines[t.class].longest()
+	if longest == nil || longest.caller == t.caller {
+		return nil
+	}
+	if len(longest.tickets) <= q.lines[t.class].lengthOf(t.caller)+1 {
+		return nil
+	}
+	return q.removeNewest(t.class, longest)
+}
+
+func (l *line) longest() (found *lane) {
+	for _, a := range l.lanes {
+		if found == nil || len(a.tickets) > len(found.tickets) {
+			found = a
+		}
+	}
+	return found
+}
+
+func (l *line) lengthOf(caller string) int {
+	for _, a := range l.lanes {
+		if a.caller == caller {
+			return len(a.tickets)
+		}
+	}
+	return 0
+}
+
+func (q *Queue) removeNewest(class conf.Class, a *lane) *Ticket {
+	t := a.tickets[len(a.tickets)-1]
+	q.Cancel(t)
+	return t
+}
+
+func (q *Queue) push(t *Ticket) {
+	l := &q.lines[t.class]
+	l.count++
+	q.waiting++
+	for _, a := range l.lanes {
+		if a.caller == t.caller {
+			a.tickets = append(a.tickets, t)
+			return
+		}
+	}
+	l.lanes = append(l.lanes, &lane{caller: t.caller, tickets: []*Ticket{t}})
+}
+
+// Cancel takes a queued request out and reports whether it was still queued.
+func (q *Queue) Cancel(t *Ticket) bool {
+	l := &q.lines[t.class]
+	for i, a := range l.lanes {
+		if a.caller != t.caller {
+			continue
+		}
+		for k, queued := range a.tickets {
+			if queued != t {
+				continue
+			}
+			a.tickets = append(a.tickets[:k:k], a.tickets[k+1:]...)
+			if len(a.tickets) == 0 {
+				l.lanes = append(l.lanes[:i:i], l.lanes[i+1:]...)
+			}
+			l.count--
+			q.waiting--
+			return true
+		}
+	}
+	return false
+}
+
+// Release frees a slot after a service time and returns the request that gets it, if any, and those that are too late.
+func (q *Queue) Release(now, served time.Duration) (next *Ticket, late []*Ticket) {
+	q.busy--
+	if served > 0 {
+		q.average += time.Duration(averageWeight * float64(served-q.average))
+	}
+	return q.Pump(now)
+}
+
+// Pump gives a free slot to the request whose turn it is and returns those that are too late.
+func (q *Queue) Pump(now time.Duration) (next *Ticket, late []*Ticket) {
+	for q.busy < q.slots {
+		t := q.pop()
+		if t == nil {
+			return nil, late
+		}
+		if now+q.average/2 > t.deadline {
+			late = append(late, t)
+			continue
+		}
+		q.busy++
+		return t, late
+	}
+	return nil, late
+}
+
+// pop takes the first request of the caller whose turn it is in the most urgent class.
+func (q *Queue) pop() *Ticket {
+	for class := range q.lines {
+		l := &q.lines[class]
+		if l.count == 0 {
+			continue
+		}
+		a := l.lanes[0]
+		t := a.tickets[0]
+		a.tickets = a.tickets[1:]
+		l.lanes = l.lanes[1:]
+		if len(a.tickets) > 0 {
+			l.lanes = append(l.lanes, a)
+		}
+		l.count--
+		q.waiting--
+		return t
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/follow/follow.go
@@ -0,0 +1,239 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/tally"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Periods and bounds of the calls to control.
+const (
+	renewsPerLease   = 4
+	loadPeriod       = time.Second
+	batchPause       = 5 * time.Millisecond
+	renewTry         = 250 * time.Millisecond
+	renewBound       = time.Second
+	watchHold        = time.Second
+	watchTry         = watchHold + 500*time.Millisecond
+	failurePause     = 50 * time.Millisecond
+	maxAnnouncements = 4096
+)
+
+// Options describe an entry host's tie to control.
+type Options struct {
+	Host  table.EntryHost
+	Hosts *wire.Hosts
+	Lease time.Duration
+	Table *route.Table
+	Tally *tally.Tally
+	Log   *events.Log
+}
+
+// pendingAnnouncement is an announcement that waits for the next renewal.
+type pendingAnnouncement struct {
+	announcement table.Announcement
+	answer       chan table.GrantAnswer
+}
+
+// Follower runs an entry host's calls to control.
+type Follower struct {
+	options  Options
+	mutex    sync.Mutex
+	pending  []pendingAnnouncement
+	wake     chan struct{}
+	leaseEnd atomic.Pointer[time.Time]
+	leaving  atomic.Bool
+	loadAt   time.Time
+	lost     atomic.Bool
+	applied  uint64
+}
+
+// New returns a follower.
+func New(o Options) *Follower {
+	f := &Follower{options: o, wake: make(chan struct{}, 1), loadAt: time.Now()}
+	f.leaseEnd.Store(&time.Time{})
+	return f
+}
+
+// LeaseEnd returns until when this host may send to upstreams that do not check fences.
+func (f *Follower) LeaseEnd() time.Time { return *f.leaseEnd.Load() }
+
+// Joined reports whether the host holds a lease now.
+func (f *Follower) Joined() bool { return time.Now().Before(f.LeaseEnd()) }
+
+// Leave tells control with the next renewal that this host stops being anyone's home.
+func (f *Follower) Leave() {
+	f.leaving.Store(true)
+	f.signal()
+}
+
+// ErrBusy is returned when too many announcements wait already.
+type ErrBusy struct{}
+
+// Error returns the message.
+func (e *ErrBusy) Error() string { return "too many announcements wait for control" }
+
+// Announce passes an upstream's announcement on and waits for the answer.
+func (f *Follower) Announce(ctx context.Context, a table.Announcement) (g table.GrantAnswer, err error) {
+	p := pendingAnnouncement{announcement: a, answer: make(chan table.GrantAnswer, 1)}
+	f.mutex.Lock()
+	if len(f.pending) >= maxAnnouncements {
+		f.mutex.Unlock()
+		return g, &ErrBusy{}
+	}
+	f.pending = append(f.pending, p)
+	f.mutex.Unlock()
+	f.signal()
+	select {
+	case g = <-p.answer:
+		return g, nil
+	case <-ctx.Done():
+		return g, errors.WithMessage(ctx.Err(), "announce")
+	}
+}
+
+func (f *Follower) signal() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// RunRenewals renews until the context ends.
+func (f *Follower) RunRenewals(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-f.wake:
+			sleep(ctx, batchPause)
+		}
+		f.renew(ctx)
+		timer.Reset(f.options.Lease / renewsPerLease)
+	}
+}
+
+// renew makes one renewal; announcements whose renewal fails are answered by the upstream's own timeout.
+func (f *Follower) renew(ctx context.Context) {
+	f.mutex.Lock()
+	pending := f.pending
+	f.pending = nil
+	f.mutex.Unlock()
+	r := f.renewal(pending)
+	ctx, cancel := context.WithTimeout(ctx, renewBound)
+	defer cancel()
+	sentAt := time.Now()
+	answer, err := wire.CallLeader[table.Renewal, table.RenewalAnswer](ctx, f.options.Hosts, renewTry, oper.Renew, &r)
+	f.noteControl(err)
+	if err != nil {
+		return
+	}
+	if answer.Joined {
+		end := sentAt.Add(time.Duration(answer.LeaseMillis) * time.Millisecond)
+		f.leaseEnd.Store(&end)
+	}
+	for i, g := range answer.Grants {
+		if i < len(pending) {
+			pending[i].answer <- g
+		}
+	}
+}
+
+func (f *Follower) renewal(pending []pendingAnnouncement) (r table.Renewal) {
+	r = table.Renewal{Host: f.options.Host, Applied: f.options.Table.View().Version(), Oldest: f.options.Table.Oldest(),
+		Leaving: f.leaving.Load()}
+	for _, p := range pending {
+		r.Announcements = append(r.Announcements, p.announcement)
+	}
+	if since := time.Since(f.loadAt); since >= loadPeriod {
+		r.Period = since
+		f.loadAt = time.Now()
+		f.options.Tally.Take(&r)
+	}
+	return r
+}
+
+func (f *Follower) noteControl(err error) {
+	if err != nil && !f.lost.Swap(true) {
+		f.options.Log.Write(events.ControlLost, events.Cause(err))
+	}
+	if err == nil && f.lost.Swap(false) {
+		f.options.Log.Write(events.ControlFound)
+	}
+}
+
+// RunWatch takes in new versions of the table until the context ends.
+func (f *Follower) RunWatch(ctx context.Context) error {
+	full := false
+	for ctx.Err() == nil {
+		w := f.watch(full)
+		callCtx, cancel := context.WithTimeout(ctx, watchTry*2)
+		delta, err := wire.CallLeader[table.Watch, table.Delta](callCtx, f.options.Hosts, watchTry, oper.Watch, &w)
+		cancel()
+		if err != nil {
+			sleep(ctx, failurePause)
+			continue
+		}
+		full = !f.apply(*delta)
+	}
+	return nil
+}
+
+func (f *Follower) watch(full bool) (w table.Watch) {
+	view := f.options.Table.View()
+	w = table.Watch{Name: f.options.Host.Name, Version: view.Version(), Digest: view.Digest(), Hold: watchHold}
+	if full {
+		w.Version, w.Digest = 0, 0
+	}
+	return w
+}
+
+// apply takes a delta in and reports whether it fitted; otherwise the next watch asks for everything.
+func (f *Follower) apply(d table.Delta) bool {
+	before := f.options.Table.View()
+	if !d.Full && d.To == before.Version() {
+		return true
+	}
+	if err := f.options.Table.Apply(d); err != nil {
+		f.options.Log.Write(events.TableRefused, events.Cause(err))
+		return false
+	}
+	after := f.options.Table.View()
+	f.options.Log.Write(events.TableApplied, zap.Uint64("version", after.Version()))
+	if after.Config().Version != before.Config().Version {
+		f.options.Log.Write(events.ConfigInForce, zap.Uint64("version", after.Config().Version))
+	}
+	if after.Version() != before.Version() {
+		f.signal()
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Leader returns the address where the leader answered last, or any control host's.
+func (f *Follower) Leader() string {
+	if leader := f.options.Hosts.Leader(); leader != "" {
+		return leader
+	}
+	return f.options.Hosts.Addresses()[0]
+}
--- /dev/null
+++ b/internal/entry/guard/guard.go
@@ -0,0 +1,192 @@
+package guard
+
+import (
+	"container/list"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds of what is remembered.
+const (
+	maxRecords     = 200000
+	maxKeptBytes   = 64 << 20
+	maxAnswerBytes = 64 << 10
+)
+
+// Answer is a whole answer kept for resends; a body too large to keep leaves Kept false.
+type Answer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	outcome string
+	kept    bool
+}
+
+// NewAnswer returns an answer to keep.
+func NewAnswer(status int, header http.Header, body []byte, outcome string) Answer {
+	if len(body) > maxAnswerBytes {
+		return Answer{status: status, outcome: outcome}
+	}
+	return Answer{status: status, header: header, body: body, outcome: outcome, kept: true}
+}
+
+// Status returns the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// Header returns the HTTP header.
+func (a Answer) Header() http.Header { return a.header }
+
+// Body returns the body.
+func (a Answer) Body() []byte { return a.body }
+
+// Outcome returns the outcome that the first sending had.
+func (a Answer) Outcome() string { return a.outcome }
+
+// Kept reports whether the whole answer was kept.
+func (a Answer) Kept() bool { return a.kept }
+
+// ID names a request within a service.
+type ID struct {
+	service string
+	id      string
+}
+
+// NewID returns the name of a request.
+func NewID(service, id string) ID { return ID{service: service, id: id} }
+
+// Standing tells what is known of a request id.
+type Standing uint8
+
+// Standings.
+const (
+	// Fresh means that the id is new and now belongs to this sending.
+	Fresh Standing = iota
+	// Repeated means that an earlier sending is in flight or has ended.
+	Repeated
+	// Ambiguous means that an earlier sending may have gone through a host that is no longer asked.
+	Ambiguous
+	// Full means that no more ids can be remembered, so that the request must not run.
+	Full
+)
+
+// Record is one remembered request.
+type Record struct {
+	id      ID
+	window  time.Duration
+	expires time.Time
+	ended   chan struct{}
+	answer  Answer
+	element *list.Element
+}
+
+// Ended returns a channel that closes once the answer is known.
+func (r *Record) Ended() <-chan struct{} { return r.ended }
+
+// Answer returns the answer; it may be called once Ended is closed.
+func (r *Record) Answer() Answer { return r.answer }
+
+// Guard remembers request ids; it is safe for concurrent use.
+type Guard struct {
+	mutex   sync.Mutex
+	records map[ID]*Record
+	ended   *list.List
+	bytes   int
+	now     func() time.Time
+}
+
+// New returns an empty guard that reads the time from now.
+func New(now func() time.Time) *Guard {
+	return &Guard{records: map[ID]*Record{}, ended: list.New(), now: now}
+}
+
+// Begin takes in a sending. Since tells when this host began to be asked for the request's slice: an id that is not
+// known may have come before that by another host, unless the caller vouches for its first sending or a whole window
+// has passed.
+func (g *Guard) Begin(id ID, window time.Duration, since time.Time, resend Resend) (s Standing, r *Record) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.expire()
+	if r = g.records[id]; r != nil {
+		return Repeated, r
+	}
+	if resend != FirstSending && g.now().Sub(since) < window {
+		return Ambiguous, nil
+	}
+	if len(g.records) >= maxRecords {
+		return Full, nil
+	}
+	r = &Record{id: id, window: window, ended: make(chan struct{})}
+	g.records[id] = r
+	return Fresh, r
+}
+
+// Resend is what a caller says of a request id.
+type Resend uint8
+
+// What callers say.
+const (
+	// NotSaid means that the caller did not number its sendings.
+	NotSaid Resend = iota
+	// FirstSending means that the caller vouches that it never sent the id before.
+	FirstSending
+	// SentBefore means that the caller sent the id before.
+	SentBefore
+)
+
+// End keeps the answer for the window.
+func (g *Guard) End(r *Record, a Answer) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	r.answer = a
+	r.expires = g.now().Add(r.window)
+	r.element = g.ended.PushBack(r)
+	g.bytes += len(a.body)
+	for g.bytes > maxKeptBytes {
+		g.thin()
+	}
+	close(r.ended)
+}
+
+// Void forgets a request that surely did not run, so that a resend may run it.
+func (g *Guard) Void(r *Record, a Answer) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.records, r.id)
+	r.answer = a
+	close(r.ended)
+}
+
+// thin drops the oldest kept body but keeps the outcome.
+func (g *Guard) thin() {
+	for e := g.ended.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*Record)
+		if len(r.answer.body) > 0 {
+			g.bytes -= len(r.answer.body)
+			r.answer = Answer{status: r.answer.status, outcome: r.answer.outcome}
+			return
+		}
+	}
+	g.bytes = 0
+}
+
+// expire forgets ids whose window has passed.
+func (g *Guard) expire() {
+	now := g.now()
+	for e := g.ended.Front(); e != nil; e = g.ended.Front() {
+		r := e.Value.(*Record)
+		if now.Before(r.expires) {
+			return
+		}
+		g.bytes -= len(r.answer.body)
+		g.ended.Remove(e)
+		delete(g.records, r.id)
+	}
+}
+
+// Len returns the number of ids remembered.
+func (g *Guard) Len() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.records)
+}
--- /dev/null
+++ b/internal/entry/relay/answer.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+)
+
+// bufferedBytes is how much of an answer is read before any of it goes to the caller; a shorter answer that is cut can
+// still be asked for again.
+const bufferedBytes = 256 << 10
+
+// read takes an answer in. One with another attempt's id, or without a length, cannot be proven whole and is given up
+// with its connection.
+func (h *Handler) read(response *http.Response, target route.Target, attempt string, cancel context.CancelFunc) *reply {
+	echo := response.Header.Get(HeaderAttemptID)
+	crossed := echo != attempt && (echo != "" || target.Upstream().ChecksFence)
+	if crossed || !lengthKnown(response) {
+		cancel()
+		_ = response.Body.Close()
+		return unknown(ReasonTruncated)
+	}
+	if Outcome(response.Header.Get(HeaderOutcome)) == NotRun {
+		reason := Reason(response.Header.Get(HeaderReason))
+		_, _ = io.CopyN(io.Discard, response.Body, bufferedBytes)
+		cancel()
+		_ = response.Body.Close()
+		return notRun(knownRefusal(reason))
+	}
+	return readAnswer(response, cancel)
+}
+
+// knownRefusal maps an upstream's reason for not running a request to one of ours.
+func knownRefusal(r Reason) Reason {
+	switch r {
+	case ReasonFence, ReasonDraining, ReasonShed:
+		return r
+	}
+	return ReasonShed
+}
+
+func lengthKnown(r *http.Response) bool {
+	return r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
+}
+
+// readAnswer buffers the start of an answer; what is longer stays in a stream.
+func readAnswer(response *http.Response, cancel context.CancelFunc) *reply {
+	p := &reply{outcome: Done, status: response.StatusCode, header: response.Header}
+	var start bytes.Buffer
+	_, err := io.CopyN(&start, response.Body, bufferedBytes)
+	p.body = start.Bytes()
+	if err == nil {
+		p.rest = &stream{body: response.Body, cancel: cancel}
+		return p
+	}
+	cancel()
+	_ = response.Body.Close()
+	if !errors.Is(err, io.EOF) || response.ContentLength > int64(len(p.body)) && response.Request.Method != http.MethodHead {
+		return unknown(ReasonTruncated)
+	}
+	return p
+}
+
+// stream is the part of an answer that was not buffered.
+type stream struct {
+	body    io.ReadCloser
+	cancel  context.CancelFunc
+	onClose func()
+	closed  bool
+}
+
+func (s *stream) close() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.cancel()
+	_ = s.body.Close()
+	if s.onClose != nil {
+		s.onClose()
+	}
+}
+
+// copyTo passes the rest on and flushes it.
+func (s *stream) copyTo(w io.Writer) (err error) {
+	defer s.close()
+	_, err = io.Copy(w, s.body)
+	return err
+}
+
+// readWhole appends the rest to the buffer and reports whether it came whole.
+func (s *stream) readWhole(buffer *[]byte) bool {
+	defer s.close()
+	rest, err := io.ReadAll(s.body)
+	*buffer = append(*buffer, rest...)
+	return err == nil
+}
--- /dev/null
+++ b/internal/entry/relay/handler.go
@@ -0,0 +1,252 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/guard"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Observer hears of what requests meet.
+type Observer interface {
+	// Arrived counts a caller's request for a slice and a key.
+	Arrived(service string, start, hash uint64)
+	// Seen counts an upstream's answer or failure.
+	Seen(upstream uint32, failed bool)
+	// Ended counts a caller's answer.
+	Ended(service string, outcome Outcome, reason Reason, status int, took, bound time.Duration)
+}
+
+// Options describe an entry host's forwarding.
+type Options struct {
+	Name     string
+	Table    *route.Table
+	Scheme   string
+	Security *wire.Security
+	MaxBody  int64
+	MaxHold  time.Duration
+	Lease    func() time.Time
+	Observer Observer
+	Log      *events.Log
+}
+
+// Handler forwards callers' requests; it is safe for concurrent use.
+type Handler struct {
+	options   Options
+	table     *route.Table
+	guard     *guard.Guard
+	mutex     sync.Mutex
+	upstreams map[uint32]*upstream
+	budgets   map[string]*retry.Budget
+	hops      pools
+}
+
+// NewHandler returns a handler.
+func NewHandler(o Options) *Handler {
+	return &Handler{options: o, table: o.Table, guard: guard.New(time.Now), upstreams: map[uint32]*upstream{},
+		budgets: map[string]*retry.Budget{}, hops: newHopPools(o.Security)}
+}
+
+// ServeHTTP answers a caller's request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, whole, err := readBody(r, h.options.MaxBody)
+	switch {
+	case err != nil:
+		writeRefusal(w, &errBadCall{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
+		return
+	case !whole:
+		writeRefusal(w, &errBadCall{http.StatusRequestEntityTooLarge, ReasonTooLarge, "the request's body is too large"})
+		return
+	}
+	c, bad := h.newCall(r, body)
+	if bad != nil {
+		writeRefusal(w, bad)
+		return
+	}
+	h.options.Observer.Arrived(c.service.Name(), h.table.SliceStart(c.service.Name(), c.hash), c.hash)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	p := h.carry(ctx, c)
+	h.options.Observer.Ended(c.service.Name(), p.outcome, p.reason, p.status, time.Since(c.arrived), c.service.LatencyBound())
+	h.write(w, p)
+}
+
+// readBody reads a request's body up to the limit.
+func readBody(r *http.Request, limit int64) (body []byte, whole bool, err error) {
+	if r.ContentLength == 0 || r.Body == nil {
+		return nil, true, nil
+	}
+	if r.ContentLength > limit {
+		return nil, false, nil
+	}
+	return wire.ReadLimited(r.Body, limit)
+}
+
+// carry tries until there is an answer, the outcome forbids another try, or the deadline has passed.
+func (h *Handler) carry(ctx context.Context, c *call) (p *reply) {
+	budget := h.budget(c)
+	budget.Earn()
+	for try := 1; ; try++ {
+		target := h.table.Find(c.service.Name(), c.hash)
+		if !target.Owned() {
+			if err := h.table.Await(ctx, target.Version()); err != nil {
+				return h.unowned(err)
+			}
+			try--
+			continue
+		}
+		p = h.send(ctx, c, target)
+		if !mayRetry(c, p) || ctx.Err() != nil {
+			return p
+		}
+		if p.outcome == NotRun {
+			h.awaitNewer(ctx, max(target.Version(), p.version), try)
+			continue
+		}
+		if !budget.Spend() {
+			return p
+		}
+		sleep(ctx, retry.Pause(try, retry.Random))
+	}
+}
+
+// mayRetry reports whether another try cannot make the request run twice and may bring another answer.
+func mayRetry(c *call, p *reply) bool {
+	switch p.outcome {
+	case NotRun:
+		return p.reason != ReasonShed && p.reason != ReasonAmbiguous
+	case Unknown:
+		return c.handling.Idempotent && p.reason != ReasonAmbiguous
+	}
+	return c.handling.Idempotent && p.status == http.StatusServiceUnavailable
+}
+
+// awaitNewer waits a moment for a newer table: the owner may have changed, or may not know its new grant yet. Such tries
+// put no load on upstreams, so that they are not counted as retries.
+func (h *Handler) awaitNewer(ctx context.Context, version uint64, try int) {
+	pause, cancel := context.WithTimeout(ctx, retry.Pause(try, retry.Random))
+	defer cancel()
+	_ = h.table.Await(pause, version)
+}
+
+func (h *Handler) unowned(err error) *reply {
+	if _, full := err.(*route.ErrParkedFull); full {
+		return notRun(ReasonShed)
+	}
+	return notRun(ReasonNoOwner)
+}
+
+// send makes one try: here, if this host is the owner's home, or at the home.
+func (h *Handler) send(ctx context.Context, c *call, target route.Target) *reply {
+	if target.Home().Name == h.options.Name {
+		return h.sendHere(ctx, c, target)
+	}
+	return h.sendHome(ctx, c, target)
+}
+
+func (h *Handler) budget(c *call) *retry.Budget {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	b := h.budgets[c.service.Name()]
+	if b == nil {
+		b = retry.NewBudget(c.service.RetryShare())
+		h.budgets[c.service.Name()] = b
+	}
+	b.SetShare(c.service.RetryShare())
+	return b
+}
+
+func (h *Handler) randomHash() uint64 { return rand.Uint64() }
+
+func remoteHost(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Load returns the slots in use and the requests that wait at this host.
+func (h *Handler) Load() (busy, waiting int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, u := range h.upstreams {
+		b, w := u.gate.Load()
+		busy, waiting = busy+b, waiting+w
+	}
+	return busy, waiting
+}
+
+// write brings a reply to the caller; one that turns out not to be whole breaks the connection.
+func (h *Handler) write(w http.ResponseWriter, p *reply) {
+	if p.status == 0 {
+		writeRefusal(w, &errBadCall{refusalStatus(p), p.reason, "the request was not answered by its upstream"}, p.outcome)
+		return
+	}
+	header := w.Header()
+	for name, values := range passedOn(p.header) {
+		header[name] = values
+	}
+	header.Set(HeaderOutcome, string(p.outcome))
+	if p.reason != "" {
+		header.Set(HeaderReason, string(p.reason))
+	}
+	if p.duplicate {
+		header.Set(HeaderDuplicate, "1")
+	}
+	if p.rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(p.body)))
+	}
+	w.WriteHeader(p.status)
+	_, err := w.Write(p.body)
+	if p.rest == nil {
+		return
+	}
+	defer p.rest.close()
+	if err == nil {
+		err = p.rest.copyTo(w)
+	}
+	if err != nil {
+		h.options.Log.Write(events.RequestTruncated, events.Cause(err))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func refusalStatus(p *reply) int {
+	switch {
+	case p.reason == ReasonAmbiguous:
+		return http.StatusConflict
+	case p.outcome == Unknown && p.reason == ReasonTimeout:
+		return http.StatusGatewayTimeout
+	case p.outcome == Unknown:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// writeRefusal answers without an upstream; the outcome is notRun unless told otherwise.
+func writeRefusal(w http.ResponseWriter, bad *errBadCall, outcome ...Outcome) {
+	o := NotRun
+	if len(outcome) > 0 {
+		o = outcome[0]
+	}
+	w.Header().Set(HeaderOutcome, string(o))
+	w.Header().Set(HeaderReason, string(bad.reason))
+	http.Error(w, bad.text, bad.status)
+}
--- /dev/null
+++ b/internal/entry/relay/headers.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Headers of callers, upstreams and entry hosts.
+const (
+	HeaderRequestID = "Ebonyrill-Request-Id"
+	HeaderAttempt   = "Ebonyrill-Attempt"
+	HeaderTimeout   = "Ebonyrill-Timeout"
+	HeaderOutcome   = "Ebonyrill-Outcome"
+	HeaderReason    = "Ebonyrill-Reason"
+	HeaderDuplicate = "Ebonyrill-Duplicate"
+	HeaderFence     = "Ebonyrill-Fence"
+	HeaderKeyHash   = "Ebonyrill-Key-Hash"
+	HeaderDeadline  = "Ebonyrill-Deadline"
+	HeaderAttemptID = "Ebonyrill-Attempt-Id"
+	headerHop       = "Ebonyrill-Hop"
+	headerService   = "Ebonyrill-Service"
+	headerCaller    = "Ebonyrill-Caller"
+	headerVersion   = "Ebonyrill-Version"
+	headerPrefix    = "Ebonyrill-"
+)
+
+// Outcome is what is known of whether a request ran.
+type Outcome string
+
+// Outcomes.
+const (
+	Done    Outcome = "done"
+	NotRun  Outcome = "notRun"
+	Unknown Outcome = "unknown"
+)
+
+// Reason tells why a request got its outcome.
+type Reason string
+
+// Reasons.
+const (
+	ReasonFence       Reason = "fence"
+	ReasonDraining    Reason = "draining"
+	ReasonShed        Reason = "shed"
+	ReasonMoved       Reason = "moved"
+	ReasonUnreachable Reason = "unreachable"
+	ReasonTimeout     Reason = "timeout"
+	ReasonTruncated   Reason = "truncated"
+	ReasonBroken      Reason = "broken"
+	ReasonAmbiguous   Reason = "ambiguousId"
+	ReasonNoOwner     Reason = "noOwner"
+	ReasonNoService   Reason = "noService"
+	ReasonNoKey       Reason = "noKey"
+	ReasonBadRequest  Reason = "badRequest"
+	ReasonTooLarge    Reason = "tooLarge"
+	ReasonNotReady    Reason = "notReady"
+	ReasonRetries     Reason = "retriesSpent"
+)
+
+// hopHeaders are the headers of one connection, which are not passed on.
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// passedOn returns a copy of a header without what belongs to one connection and without ebonyrill's own names.
+func passedOn(h http.Header) http.Header {
+	next := make(http.Header, len(h)+4)
+	for name, values := range h {
+		if !strings.HasPrefix(name, headerPrefix) {
+			next[name] = values
+		}
+	}
+	for _, named := range h["Connection"] {
+		for _, name := range strings.Split(named, ",") {
+			next.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		next.Del(name)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/entry/relay/here.go
@@ -0,0 +1,213 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/guard"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// sendHere makes one try as the home of the owner.
+func (h *Handler) sendHere(ctx context.Context, c *call, target route.Target) *reply {
+	if c.handling.Idempotent || c.id == "" {
+		return h.queueAndForward(ctx, c, target)
+	}
+	return h.once(ctx, c, target)
+}
+
+// once makes sure that a request id runs at most once; a resend gets the answer of the first sending.
+func (h *Handler) once(ctx context.Context, c *call, target route.Target) *reply {
+	since := h.table.Since(target)
+	if target.Upstream().ChecksRequestID {
+		since = time.Time{}
+	}
+	standing, record := h.guard.Begin(guard.NewID(c.service.Name(), c.id), c.service.ResendWindow(), since, c.resend)
+	switch standing {
+	case guard.Ambiguous:
+		return unknown(ReasonAmbiguous)
+	case guard.Full:
+		return notRun(ReasonShed)
+	case guard.Repeated:
+		return repeated(ctx, record)
+	}
+	runCtx, cancel := detached(ctx, c.deadline)
+	defer cancel()
+	p := h.queueAndForward(runCtx, c, target)
+	if p.rest != nil && !p.rest.readWhole(&p.body) {
+		p = unknown(ReasonTruncated)
+	}
+	p.rest = nil
+	answer := guard.NewAnswer(p.status, p.header, p.body, string(p.outcome))
+	if p.outcome == NotRun {
+		h.guard.Void(record, answer)
+	} else {
+		h.guard.End(record, answer)
+	}
+	return p
+}
+
+// repeated waits for the first sending of an id and gives its answer again.
+func repeated(ctx context.Context, record *guard.Record) *reply {
+	select {
+	case <-record.Ended():
+	case <-ctx.Done():
+		return unknown(ReasonTimeout)
+	}
+	a := record.Answer()
+	if Outcome(a.Outcome()) == NotRun {
+		return notRun(ReasonMoved)
+	}
+	p := &reply{outcome: Outcome(a.Outcome()), status: a.Status(), header: a.Header(), body: a.Body(), duplicate: true}
+	if !a.Kept() {
+		p.status, p.header, p.body = http.StatusConflict, http.Header{}, nil
+	}
+	return p
+}
+
+// queueAndForward waits for a slot of the upstream and forwards.
+func (h *Handler) queueAndForward(ctx context.Context, c *call, target route.Target) *reply {
+	u := h.upstream(target, c.service)
+	leave, err := u.gate.Enter(ctx, c.handling.Class, c.caller)
+	if err != nil {
+		return notRun(ReasonShed)
+	}
+	deadline := c.deadline
+	if !target.Upstream().ChecksFence {
+		now := time.Now()
+		if !now.Before(h.options.Lease()) {
+			leave()
+			return notRun(ReasonMoved)
+		}
+		if hold := now.Add(h.options.MaxHold); hold.Before(deadline) {
+			deadline = hold
+		}
+	}
+	target, current := h.depart(c, target)
+	if !current {
+		leave()
+		return notRun(ReasonMoved)
+	}
+	p := h.forward(ctx, c, target, u, deadline)
+	h.arrive(target, p, deadline)
+	if p.rest != nil {
+		p.rest.onClose = leave
+	} else {
+		leave()
+	}
+	return p
+}
+
+// departTries is how often a request looks again when the table changes while it departs.
+const departTries = 4
+
+// depart finds the target again after a wait and notes the request as sent by that version; it is current while owner
+// and fence are the same.
+func (h *Handler) depart(c *call, target route.Target) (next route.Target, current bool) {
+	for range departTries {
+		next = h.table.Find(c.service.Name(), c.hash)
+		if !next.Owned() || next.Fence() != target.Fence() || next.Upstream().Number != target.Upstream().Number {
+			return next, false
+		}
+		if h.table.Depart(next.Version()) {
+			return next, true
+		}
+	}
+	return next, false
+}
+
+// arrive ends the tracking of a request; one that may still lie in the socket of an upstream that does not check fences
+// counts until its deadline.
+func (h *Handler) arrive(target route.Target, p *reply, deadline time.Time) {
+	if p.outcome == Unknown && !target.Upstream().ChecksFence {
+		time.AfterFunc(time.Until(deadline), func() { h.table.Arrive(target.Version()) })
+		return
+	}
+	h.table.Arrive(target.Version())
+}
+
+// forward sends the request to the upstream and reads the answer.
+func (h *Handler) forward(ctx context.Context, c *call, target route.Target, u *upstream, deadline time.Time) *reply {
+	if c.handling.Idempotent {
+		deadline = firstTryDeadline(c, deadline)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	attempt := strconv.FormatUint(rand.Uint64(), 36)
+	sent := &wire.Sent{}
+	request := h.upstreamRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, deadline, attempt)
+	response, err := u.pools.of(c.handling.Idempotent).RoundTrip(request)
+	if err != nil {
+		cancel()
+		h.options.Observer.Seen(target.Upstream().Number, true)
+		return h.failed(ctx, u, sent)
+	}
+	p := h.read(response, target, attempt, cancel)
+	h.options.Observer.Seen(target.Upstream().Number, p.outcome == Unknown || p.status >= http.StatusInternalServerError && p.outcome == Done)
+	return p
+}
+
+// firstTryDeadline leaves time for a retry of an idempotent request on a fresh connection.
+func firstTryDeadline(c *call, deadline time.Time) time.Time {
+	left := time.Until(deadline)
+	if try := time.Now().Add(left * 2 / 3); try.Before(deadline) && left > minRetryTime {
+		return try
+	}
+	return deadline
+}
+
+// minRetryTime is the shortest deadline within which a second try makes sense.
+const minRetryTime = 100 * time.Millisecond
+
+// failed classifies a try that brought no answer.
+func (h *Handler) failed(ctx context.Context, u *upstream, sent *wire.Sent) *reply {
+	if ctx.Err() == context.DeadlineExceeded {
+		u.pools.condemn()
+		h.options.Log.Write(events.PathCondemned, zap.String("upstream", u.info.Name))
+	}
+	if !sent.Any() {
+		return notRun(ReasonUnreachable)
+	}
+	if ctx.Err() != nil {
+		return unknown(ReasonTimeout)
+	}
+	return unknown(ReasonBroken)
+}
+
+// upstreamRequest builds the request; its body hides its kind from the transport, which then never replays it.
+func (h *Handler) upstreamRequest(ctx context.Context, c *call, target route.Target, deadline time.Time, attempt string) *http.Request {
+	location, err := url.ParseRequestURI(c.uri)
+	if err != nil {
+		location = &url.URL{Path: "/"}
+	}
+	location.Scheme, location.Host = "http", target.Upstream().Address
+	header := passedOn(c.header)
+	header.Set(HeaderFence, strconv.FormatUint(target.Fence(), 10))
+	header.Set(HeaderKeyHash, strconv.FormatUint(c.hash, 10))
+	header.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
+	header.Set(HeaderAttemptID, attempt)
+	if c.id != "" {
+		header.Set(HeaderRequestID, c.id)
+	}
+	r := &http.Request{Method: c.method, URL: location, Host: location.Host, Header: header, Proto: "HTTP/1.1",
+		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)), Body: opaqueBody{bytes.NewReader(c.body)}}
+	return r.WithContext(ctx)
+}
+
+// opaqueBody is a body that the transport can read once only.
+type opaqueBody struct {
+	io.Reader
+}
+
+// Close does nothing.
+func (opaqueBody) Close() error { return nil }
--- /dev/null
+++ b/internal/entry/relay/hop.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/guard"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// sendHome makes one try by way of the owner's home.
+func (h *Handler) sendHome(ctx context.Context, c *call, target route.Target) *reply {
+	deadline := c.deadline
+	if c.handling.Idempotent {
+		deadline = firstTryDeadline(c, deadline)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	sent := &wire.Sent{}
+	request, err := h.hopRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, deadline)
+	if err != nil {
+		cancel()
+		return notRun(ReasonBadRequest)
+	}
+	response, err := h.hops.of(c.handling.Idempotent).RoundTrip(request)
+	if err != nil {
+		defer cancel()
+		return h.hopFailed(ctx, sent)
+	}
+	return h.readHop(response, cancel)
+}
+
+// hopFailed classifies a try that the home did not answer; only when no byte was sent is it sure that the request did
+// not run.
+func (h *Handler) hopFailed(ctx context.Context, sent *wire.Sent) *reply {
+	late := ctx.Err() != nil
+	if late {
+		h.hops.condemn()
+	}
+	switch {
+	case !sent.Any():
+		return notRun(ReasonMoved)
+	case late:
+		return unknown(ReasonTimeout)
+	}
+	return unknown(ReasonBroken)
+}
+
+func (h *Handler) hopRequest(ctx context.Context, c *call, target route.Target, deadline time.Time) (r *http.Request, err error) {
+	location, err := url.ParseRequestURI(c.uri)
+	if err != nil {
+		return nil, err
+	}
+	location.Scheme, location.Host = h.options.Scheme, target.Home().Address
+	header := passedOn(c.header)
+	header.Set(headerHop, "1")
+	header.Set(headerService, c.service.Name())
+	header.Set(headerCaller, c.caller)
+	header.Set(headerVersion, strconv.FormatUint(target.Version(), 10))
+	header.Set(HeaderKeyHash, strconv.FormatUint(c.hash, 10))
+	header.Set(HeaderTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	if c.id != "" {
+		header.Set(HeaderRequestID, c.id)
+	}
+	header.Set(HeaderAttempt, strconv.Itoa(int(c.resend)))
+	r = &http.Request{Method: c.method, URL: location, Host: location.Host, Header: header, Proto: "HTTP/1.1",
+		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)), Body: opaqueBody{bytes.NewReader(c.body)}}
+	return r.WithContext(ctx), nil
+}
+
+// readHop takes in a home's answer.
+func (h *Handler) readHop(response *http.Response, cancel context.CancelFunc) *reply {
+	outcome := Outcome(response.Header.Get(HeaderOutcome))
+	reason := Reason(response.Header.Get(HeaderReason))
+	version, _ := strconv.ParseUint(response.Header.Get(headerVersion), 10, 64)
+	if outcome != Done && response.Header.Get(headerHop) == "" {
+		cancel()
+		_ = response.Body.Close()
+		return unknown(ReasonBroken)
+	}
+	if outcome != Done && response.Header.Get(HeaderDuplicate) == "" {
+		cancel()
+		_ = response.Body.Close()
+		return &reply{outcome: outcome, reason: reason, version: version}
+	}
+	duplicate := response.Header.Get(HeaderDuplicate) != ""
+	p := readAnswer(response, cancel)
+	p.duplicate = duplicate
+	if p.outcome == Done {
+		p.outcome, p.reason = outcome, reason
+	}
+	return p
+}
+
+// ServeHop answers a request that another entry host sent here as the owner's home.
+func (h *Handler) ServeHop(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerHop, "1")
+	body, whole, err := readBody(r, h.options.MaxBody)
+	if err != nil || !whole {
+		writeRefusal(w, &errBadCall{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
+		return
+	}
+	c, ok := h.hopCall(r, body)
+	if !ok {
+		writeRefusal(w, &errBadCall{http.StatusServiceUnavailable, ReasonMoved, "this host does not know the service yet"})
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	target := h.table.Find(c.service.Name(), c.hash)
+	asked, _ := strconv.ParseUint(r.Header.Get(headerVersion), 10, 64)
+	if target.Version() < asked {
+		_ = h.table.Await(ctx, asked-1)
+		target = h.table.Find(c.service.Name(), c.hash)
+	}
+	w.Header().Set(headerVersion, strconv.FormatUint(target.Version(), 10))
+	if !target.Owned() || target.Home().Name != h.options.Name {
+		writeRefusal(w, &errBadCall{http.StatusServiceUnavailable, ReasonMoved, "this host is not the owner's home"})
+		return
+	}
+	h.write(w, h.sendHere(ctx, c, target))
+}
+
+// hopCall rebuilds the call that another entry host sent.
+func (h *Handler) hopCall(r *http.Request, body []byte) (c *call, ok bool) {
+	c = &call{method: r.Method, uri: r.URL.RequestURI(), header: r.Header, body: body, arrived: time.Now()}
+	for _, s := range h.table.View().Services() {
+		if s.Name() == r.Header.Get(headerService) {
+			c.service = s
+		}
+	}
+	hash, err := strconv.ParseUint(r.Header.Get(HeaderKeyHash), 10, 64)
+	millis, timeErr := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 32)
+	resend, resendErr := strconv.Atoi(r.Header.Get(HeaderAttempt))
+	if c.service == nil || err != nil || timeErr != nil || resendErr != nil {
+		return nil, false
+	}
+	c.hash, c.caller, c.id, c.resend = hash, r.Header.Get(headerCaller), r.Header.Get(HeaderRequestID), guard.Resend(resend)
+	c.handling = c.service.Handling(r.Method, r.URL.Path)
+	c.deadline = c.arrived.Add(time.Duration(millis) * time.Millisecond)
+	return c, true
+}
--- /dev/null
+++ b/internal/entry/relay/upstream.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/admit"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Times of connections to upstreams.
+const (
+	provenIdle       = 500 * time.Millisecond
+	longestIdle      = 20 * time.Second
+	maxAnswerHeaders = 64 << 10
+	hopIdle          = 256
+)
+
+// pools are the connections to one place. A non-idempotent request goes on a connection that was in use a moment ago or
+// on a fresh one.
+type pools struct {
+	usual  *http.Transport
+	proven *http.Transport
+}
+
+// of returns the pool for a kind of request.
+func (p pools) of(idempotent bool) *http.Transport {
+	if idempotent {
+		return p.usual
+	}
+	return p.proven
+}
+
+// condemn closes the idle connections after one of their siblings went silent.
+func (p pools) condemn() {
+	p.usual.CloseIdleConnections()
+	p.proven.CloseIdleConnections()
+}
+
+func newHopPools(security *wire.Security) pools {
+	p := pools{usual: wire.NewTransport(security, longestIdle, hopIdle), proven: wire.NewTransport(security, provenIdle, hopIdle)}
+	p.usual.DisableCompression, p.proven.DisableCompression = true, true
+	return p
+}
+
+func newUpstreamPools(info table.Upstream) pools {
+	p := pools{usual: wire.NewTransport(nil, longestIdle, info.Slots), proven: wire.NewTransport(nil, provenIdle, info.Slots)}
+	for _, t := range []*http.Transport{p.usual, p.proven} {
+		t.MaxConnsPerHost = max(1, info.Connections/2)
+		t.MaxResponseHeaderBytes = maxAnswerHeaders
+		t.DisableCompression = true
+	}
+	return p
+}
+
+// upstream is this host's side of one upstream: its queue and its connections.
+type upstream struct {
+	info  table.Upstream
+	limit int
+	gate  *admit.Gate
+	pools pools
+}
+
+// upstream returns the host's side of the target's upstream and drops those that left the table.
+func (h *Handler) upstream(target route.Target, service *conf.Service) *upstream {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	info := target.Upstream()
+	u := h.upstreams[info.Number]
+	if u == nil {
+		h.dropGone()
+		u = &upstream{info: info, limit: service.Queue(), gate: admit.NewGate(info.Slots, service.Queue()),
+			pools: newUpstreamPools(info)}
+		h.upstreams[info.Number] = u
+	}
+	if u.limit != service.Queue() {
+		u.limit = service.Queue()
+		u.gate.Resize(info.Slots, u.limit)
+	}
+	return u
+}
+
+func (h *Handler) dropGone() {
+	view := h.table.View()
+	for number, u := range h.upstreams {
+		if _, ok := view.Upstream(number); !ok {
+			u.pools.condemn()
+			delete(h.upstreams, number)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/tally/tally.go
@@ -0,0 +1,129 @@
+package tally
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/entry/sketch"
+	"ebonyrill.dev/ebonyrill/internal/ops/burn"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Sizes of the sketches and of what is reported of them.
+const (
+	slicesHeld   = 4096
+	slicesSent   = 512
+	keysHeld     = 512
+	keysSent     = 16
+	keySentShare = 0.002
+)
+
+// serviceLoad is the load of one service since the last report.
+type serviceLoad struct {
+	slices *sketch.Sketch[uint64]
+	keys   *sketch.Sketch[uint64]
+	total  float64
+}
+
+// Tally counts; it is safe for concurrent use.
+type Tally struct {
+	mutex    sync.Mutex
+	loads    map[string]*serviceLoad
+	sights   map[uint32]*table.UpstreamSight
+	book     *burn.Book
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// New returns an empty tally whose metrics are registered.
+func New(registry prometheus.Registerer) *Tally {
+	t := &Tally{loads: map[string]*serviceLoad{}, sights: map[uint32]*table.UpstreamSight{}, book: burn.NewBook()}
+	t.requests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ebonyrill_requests_total",
+		Help: "Callers' requests by service, outcome and reason."}, []string{"service", "outcome", "reason"})
+	t.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ebonyrill_request_seconds",
+		Help: "Time from a request's arrival to its answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"service"})
+	registry.MustRegister(t.requests, t.latency)
+	return t
+}
+
+// Arrived counts a caller's request for a slice and a key.
+func (t *Tally) Arrived(service string, start, hash uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	l := t.loads[service]
+	if l == nil {
+		l = &serviceLoad{slices: sketch.New[uint64](slicesHeld), keys: sketch.New[uint64](keysHeld)}
+		t.loads[service] = l
+	}
+	l.total++
+	l.slices.Add(start)
+	l.keys.Add(hash)
+}
+
+// Seen counts an upstream's answer or failure.
+func (t *Tally) Seen(upstream uint32, failed bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	s := t.sights[upstream]
+	if s == nil {
+		s = &table.UpstreamSight{Number: upstream}
+		t.sights[upstream] = s
+	}
+	if failed {
+		s.Failed++
+	} else {
+		s.Answered++
+	}
+}
+
+// Ended counts a caller's answer.
+func (t *Tally) Ended(service string, outcome relay.Outcome, reason relay.Reason, status int, took, bound time.Duration) {
+	t.requests.WithLabelValues(service, string(outcome), string(reason)).Inc()
+	t.latency.WithLabelValues(service).Observe(took.Seconds())
+	t.book.Add(service, time.Now(), cause(outcome, reason, status, took, bound))
+}
+
+// cause tells what spoiled a request, if anything did.
+func cause(outcome relay.Outcome, reason relay.Reason, status int, took, bound time.Duration) burn.Cause {
+	switch {
+	case reason == relay.ReasonShed:
+		return burn.Shed
+	case reason == relay.ReasonNoOwner || reason == relay.ReasonMoved || reason == relay.ReasonFence:
+		return burn.Moved
+	case outcome != relay.Done || status >= http.StatusInternalServerError:
+		return burn.Unavailable
+	case took > bound:
+		return burn.Slow
+	}
+	return burn.Good
+}
+
+// Book returns the counts for the report on service-level burn.
+func (t *Tally) Book() *burn.Book { return t.book }
+
+// Take adds the load and the sights since the last call to a renewal.
+func (t *Tally) Take(r *table.Renewal) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for service, l := range t.loads {
+		for i, c := range l.slices.Take() {
+			if i < slicesSent {
+				r.Slices = append(r.Slices, table.SliceCount{Service: service, Start: c.Item, Count: c.Seen})
+			}
+		}
+		for i, c := range l.keys.Take() {
+			if sure := c.Seen - c.Error; i < keysSent && sure > keySentShare*l.total {
+				r.Keys = append(r.Keys, table.KeyCount{Service: service, Hash: c.Item, Count: sure})
+			}
+		}
+		l.total = 0
+	}
+	for _, s := range t.sights {
+		r.Sights = append(r.Sights, *s)
+	}
+	t.sights = map[uint32]*table.UpstreamSight{}
+}
--- /dev/null
+++ b/internal/ops/cmds/hosts.go
@@ -0,0 +1,187 @@
+package cmds
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// hostsInitCommand starts the control group.
+type hostsInitCommand struct {
+	shared *options
+}
+
+// Execute asks each host for its identity and starts the group on all of them; it can be repeated.
+func (c *hostsInitCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	request := &oper.BootstrapRequest{}
+	for _, address := range s.hosts.Addresses() {
+		i, err := wire.Call[oper.Empty, oper.Identity](s.ctx, s.hosts.Client(), address, oper.Identify, &oper.Empty{})
+		if err != nil {
+			return err
+		}
+		progress("host %s at %s has identity %x", i.Name, i.Address, i.ID)
+		request.Members = append(request.Members, *i)
+	}
+	for _, m := range request.Members {
+		if _, err = wire.Call[oper.BootstrapRequest, oper.Identity](s.ctx, s.hosts.Client(), m.Address, oper.Bootstrap, request); err != nil {
+			return err
+		}
+	}
+	for s.ctx.Err() == nil {
+		if _, err = s.status(); err == nil {
+			c.shared.printf("control group of %d hosts started\n", len(request.Members))
+			return nil
+		}
+	}
+	return errors.WithMessage(err, "the group has no leader")
+}
+
+// hostsAddCommand adds a control host.
+type hostsAddCommand struct {
+	shared *options
+	Args   struct {
+		Address string `positional-arg-name:"ADDRESS" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute adds the host and waits until it has a vote.
+func (c *hostsAddCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	if err = addHost(s, c.Args.Address); err != nil {
+		return err
+	}
+	c.shared.printf("%s has a vote\n", c.Args.Address)
+	return nil
+}
+
+// addHost adds a learner, waits until it holds every committed entry and promotes it; it can be repeated.
+func addHost(s *session, address string) (err error) {
+	defer func() { err = errors.WithMessagef(err, "add %s", address) }()
+	i, err := wire.Call[oper.Empty, oper.Identity](s.ctx, s.hosts.Client(), address, oper.Identify, &oper.Empty{})
+	if err != nil {
+		return err
+	}
+	if err = change(s, &oper.MembersRequest{Action: oper.AddLearner, Address: address}); err != nil {
+		return err
+	}
+	progress("%s is a learner with identity %x", address, i.ID)
+	for s.ctx.Err() == nil {
+		if err = change(s, &oper.MembersRequest{Action: oper.Promote, ID: i.ID}); err == nil {
+			progress("%s holds every committed entry and votes", address)
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return err
+}
+
+// change makes one step of a membership change; a step in progress is waited for.
+func change(s *session, r *oper.MembersRequest) (err error) {
+	for range 3 {
+		if _, err = ask[oper.MembersRequest, oper.Empty](s, oper.Members, r); err == nil {
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return err
+}
+
+// hostsRemoveCommand removes a control host.
+type hostsRemoveCommand struct {
+	shared *options
+	Args   struct {
+		Host string `positional-arg-name:"HOST" required:"yes" description:"address or id"`
+	} `positional-args:"yes"`
+}
+
+// Execute removes the host.
+func (c *hostsRemoveCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	id, err := findMember(s, c.Args.Host)
+	if err != nil {
+		return err
+	}
+	if err = change(s, &oper.MembersRequest{Action: oper.Remove, ID: id}); err != nil {
+		return err
+	}
+	c.shared.printf("%s is no longer a member\n", c.Args.Host)
+	return nil
+}
+
+// findMember returns the identity of the member with the address or id; an address may be that of several
+// incarnations, of which the one that is not heard is meant.
+func findMember(s *session, host string) (id uint64, err error) {
+	status, err := s.status()
+	if err != nil {
+		return 0, err
+	}
+	wanted, _ := strconv.ParseUint(host, 16, 64)
+	found := false
+	for _, m := range status.Members {
+		if m.ID == wanted {
+			return m.ID, nil
+		}
+		if m.Address == host && (!found || !m.Heard) {
+			id, found = m.ID, true
+		}
+	}
+	if !found {
+		return 0, errors.Errorf("no member has the address or id %s", host)
+	}
+	return id, nil
+}
+
+// hostsReplaceCommand replaces a lost control host.
+type hostsReplaceCommand struct {
+	shared *options
+	Args   struct {
+		Old string `positional-arg-name:"OLD" required:"yes" description:"address or id of the lost host"`
+		New string `positional-arg-name:"NEW" required:"yes" description:"address of the new host; may be the old one with an empty data folder"`
+	} `positional-args:"yes"`
+}
+
+// Execute replaces the host and waits for full redundancy.
+func (c *hostsReplaceCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	old, err := findMember(s, c.Args.Old)
+	if err != nil {
+		return err
+	}
+	if err = addHost(s, c.Args.New); err != nil {
+		return err
+	}
+	if err = change(s, &oper.MembersRequest{Action: oper.Remove, ID: old}); err != nil {
+		return err
+	}
+	progress("identity %x is removed", old)
+	for s.ctx.Err() == nil {
+		if status, err := s.status(); err == nil && status.FullRedundancy {
+			c.shared.printf("%s replaces %s; full redundancy\n", c.Args.New, c.Args.Old)
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return &ErrNotReached{What: fmt.Sprintf("full redundancy after %s replaced %s", c.Args.New, c.Args.Old)}
+}
--- /dev/null
+++ b/internal/ops/cmds/publish.go
@@ -0,0 +1,259 @@
+package cmds
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"os/user"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// serviceFilePattern names the files that a folder is searched for.
+const serviceFilePattern = "*.ebonyrill.ini"
+
+// Form and random part of a publish id.
+const (
+	publishTime        = "20060102T150405.000Z"
+	publishRandomBytes = 6
+)
+
+// filesArgument names service files or folders with them.
+type filesArgument struct {
+	Files []string `positional-arg-name:"FILE" required:"1" description:"service files, or folders that are searched for *.ebonyrill.ini"`
+}
+
+// collect reads the service files.
+func (a filesArgument) collect() (files []conf.File, err error) {
+	defer func() { err = errors.WithMessage(err, "collect service files") }()
+	for _, name := range a.Files {
+		names := []string{name}
+		info, err := os.Stat(name)
+		if err != nil {
+			return nil, err
+		}
+		if info.IsDir() {
+			if names, err = searchFolder(name); err != nil {
+				return nil, err
+			}
+		}
+		for _, n := range names {
+			text, err := os.ReadFile(n)
+			if err != nil {
+				return nil, err
+			}
+			files = append(files, conf.File{Name: filepath.ToSlash(n), Text: string(text)})
+		}
+	}
+	if len(files) == 0 {
+		return nil, errors.New("no service files found")
+	}
+	return files, nil
+}
+
+func searchFolder(folder string) (names []string, err error) {
+	err = filepath.WalkDir(folder, func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if matched, _ := filepath.Match(serviceFilePattern, d.Name()); matched && !d.IsDir() {
+			names = append(names, path)
+		}
+		return nil
+	})
+	slices.Sort(names)
+	return names, err
+}
+
+// publishCommand proposes service files.
+type publishCommand struct {
+	shared *options
+	Base   uint64        `long:"base" description:"version that the files were made on; the one in force if not given"`
+	ID     string        `long:"id" description:"publish id of an earlier try whose answer was lost"`
+	Wait   bool          `long:"wait" description:"wait until the version is in force everywhere"`
+	Args   filesArgument `positional-args:"yes"`
+}
+
+// Execute publishes and prints the outcome.
+func (c *publishCommand) Execute([]string) (err error) {
+	files, err := c.Args.collect()
+	if err != nil {
+		return err
+	}
+	if _, err = conf.ParseSet(files); err != nil {
+		return err
+	}
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	request, err := c.request(s, files)
+	if err != nil {
+		return err
+	}
+	progress("publishing %d files with id %s on version %d", len(files), request.ID, request.Base)
+	outcome, err := ask[oper.PublishRequest, table.Outcome](s, oper.Publish, request)
+	if err != nil {
+		return errors.WithMessagef(err, "publish (repeat with --id %s --base %d to learn the outcome)", request.ID, request.Base)
+	}
+	return c.report(s, outcome)
+}
+
+func (c *publishCommand) request(s *session, files []conf.File) (r *oper.PublishRequest, err error) {
+	r = &oper.PublishRequest{ID: c.ID, Base: c.Base, By: operatorName(), Files: files}
+	if r.ID == "" {
+		r.ID = newPublishID()
+	}
+	if c.Base != 0 || c.ID != "" {
+		return r, nil
+	}
+	current, err := ask[oper.Empty, table.Config](s, oper.Current, &oper.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	r.Base = current.Version
+	return r, nil
+}
+
+func (c *publishCommand) report(s *session, o *table.Outcome) (err error) {
+	if c.shared.JSON {
+		if err = c.shared.printJSON(o); err != nil {
+			return err
+		}
+	}
+	if !o.Accepted {
+		return &ErrNotAccepted{Reason: o.Reason}
+	}
+	if c.Wait {
+		if err = awaitInForce(s, o.Version); err != nil {
+			return err
+		}
+	}
+	if !c.shared.JSON {
+		c.shared.printf("accepted as version %d\n", o.Version)
+	}
+	return nil
+}
+
+func newPublishID() string {
+	var b [publishRandomBytes]byte
+	_, _ = rand.Read(b[:])
+	return time.Now().UTC().Format(publishTime) + "-" + hex.EncodeToString(b[:])
+}
+
+func operatorName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// checkCommand checks service files.
+type checkCommand struct {
+	shared *options
+	Args   filesArgument `positional-args:"yes"`
+}
+
+// Execute prints the services that the files describe, or every fault.
+func (c *checkCommand) Execute([]string) (err error) {
+	files, err := c.Args.collect()
+	if err != nil {
+		return err
+	}
+	services, err := conf.ParseSet(files)
+	if err != nil {
+		return err
+	}
+	for _, v := range services {
+		c.shared.printf("%s: valid; prefix %s\n", v.Name(), v.Prefix())
+	}
+	return nil
+}
+
+// diffCommand compares service files with those in force.
+type diffCommand struct {
+	shared *options
+	Args   filesArgument `positional-args:"yes"`
+}
+
+// Execute prints one line for each service that differs.
+func (c *diffCommand) Execute([]string) (err error) {
+	files, err := c.Args.collect()
+	if err != nil {
+		return err
+	}
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	current, err := ask[oper.Empty, table.Config](s, oper.Current, &oper.Empty{})
+	if err != nil {
+		return err
+	}
+	changes, err := compare(current.Files, files)
+	if err != nil {
+		return err
+	}
+	if c.shared.JSON {
+		return c.shared.printJSON(changes)
+	}
+	for _, v := range changes {
+		c.shared.printf("%s %s\n", v.Kind, v.Service)
+	}
+	c.shared.printf("%d services differ from version %d by %s\n", len(changes), current.Version, current.By)
+	return nil
+}
+
+// serviceChange is one line of a comparison.
+type serviceChange struct {
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+}
+
+func compare(old, next []conf.File) (changes []serviceChange, err error) {
+	before, err := textsByService(old)
+	if err != nil {
+		return nil, err
+	}
+	after, err := textsByService(next)
+	if err != nil {
+		return nil, err
+	}
+	for name, text := range after {
+		was, known := before[name]
+		switch {
+		case !known:
+			changes = append(changes, serviceChange{Service: name, Kind: "added"})
+		case was != text:
+			changes = append(changes, serviceChange{Service: name, Kind: "changed"})
+		}
+	}
+	for name := range before {
+		if _, stays := after[name]; !stays {
+			changes = append(changes, serviceChange{Service: name, Kind: "withdrawn"})
+		}
+	}
+	slices.SortFunc(changes, func(a, b serviceChange) int { return compareText(a.Service, b.Service) })
+	return changes, nil
+}
+
+func textsByService(files []conf.File) (texts map[string]string, err error) {
+	texts = map[string]string{}
+	services, err := conf.ParseSet(files)
+	if err != nil {
+		return nil, err
+	}
+	for i, v := range services {
+		texts[v.Name()] = files[i].Text
+	}
+	return texts, nil
+}
--- /dev/null
+++ b/internal/ops/cmds/status.go
@@ -0,0 +1,242 @@
+package cmds
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+)
+
+// statusPause is the pause between two looks at the status.
+const statusPause = 200 * time.Millisecond
+
+func compareText(a, b string) int { return strings.Compare(a, b) }
+
+// awaitInForce waits until a configuration version is in force on every entry host.
+func awaitInForce(s *session, version uint64) (err error) {
+	var lagging []string
+	for s.ctx.Err() == nil {
+		status, err := s.status()
+		if err == nil && status.ConfigVersion >= version {
+			var everywhere bool
+			if everywhere, lagging = status.InForce(); everywhere {
+				progress("version %d is in force on %d entry hosts", status.ConfigVersion, len(status.Entries))
+				return nil
+			}
+			progress("waiting for %s", strings.Join(lagging, ", "))
+		}
+		time.Sleep(statusPause)
+	}
+	return &ErrNotReached{What: fmt.Sprintf("version %d in force everywhere; lagging or cut off: %s", version, strings.Join(lagging, ", "))}
+}
+
+// statusCommand shows the state of the system.
+type statusCommand struct {
+	shared *options
+	Wait   bool `long:"wait" description:"wait until the configuration is in force everywhere"`
+}
+
+// Execute prints the status.
+func (c *statusCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	if c.Wait {
+		if err = awaitInForce(s, 0); err != nil {
+			return err
+		}
+	}
+	status, err := s.status()
+	if err != nil {
+		return err
+	}
+	if c.shared.JSON {
+		return c.shared.printJSON(status)
+	}
+	c.print(status)
+	return nil
+}
+
+func (c *statusCommand) print(status *oper.StatusAnswer) {
+	rows := [][]string{{"CONTROL", "DATA CENTRE", "ID", "ROLE", "HEARD", "CAUGHT UP"}}
+	for _, m := range status.Members {
+		rows = append(rows, []string{m.Address, m.DataCentre, fmt.Sprintf("%x", m.ID), memberRole(m), yesNo(m.Heard), yesNo(m.CaughtUp)})
+	}
+	c.shared.printTable(rows...)
+	rows = [][]string{{"ENTRY", "DATA CENTRE", "ADDRESS", "STATE", "TABLE VERSION"}}
+	for _, e := range status.Entries {
+		rows = append(rows, []string{e.Name, e.DataCentre, e.Address, entryState(e), strconv.FormatUint(e.Applied, 10)})
+	}
+	c.shared.printTable(rows...)
+	everywhere, lagging := status.InForce()
+	c.shared.printf("configuration %d in force everywhere: %s\n", status.ConfigVersion, yesNo(everywhere))
+	if len(lagging) > 0 {
+		c.shared.printf("lagging or cut off: %s\n", strings.Join(lagging, ", "))
+	}
+	c.shared.printf("full redundancy: %s\n", yesNo(status.FullRedundancy))
+	c.shared.printf("upstreams: %d; slices without owner: %d; moves under way: %d\n", len(status.Upstreams), status.Unowned, status.Handovers)
+}
+
+func memberRole(m oper.MemberStatus) string {
+	switch {
+	case m.Leader:
+		return "leader"
+	case m.Voter:
+		return "voter"
+	}
+	return "learner"
+}
+
+func entryState(e oper.EntryStatus) string {
+	switch {
+	case e.Lost:
+		return "lost"
+	case e.Live:
+		return "live"
+	}
+	return "silent"
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// upstreamsCommand lists upstreams.
+type upstreamsCommand struct {
+	shared *options
+}
+
+// Execute prints the upstreams.
+func (c *upstreamsCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	status, err := s.status()
+	if err != nil {
+		return err
+	}
+	if c.shared.JSON {
+		return c.shared.printJSON(status.Upstreams)
+	}
+	rows := [][]string{{"UPSTREAM", "SERVICE", "DATA CENTRE", "ADDRESS", "STATE", "CHECKS", "SLOTS", "SLICES", "SHARE", "REQUESTS/S"}}
+	for _, u := range status.Upstreams {
+		rows = append(rows, []string{u.Upstream.Name, u.Upstream.Service, u.Upstream.DataCentre, u.Upstream.Address,
+			upstreamState(u), checks(u), strconv.Itoa(u.Upstream.Slots), strconv.Itoa(u.Slices),
+			fmt.Sprintf("%.2f%%", 100*u.Share), fmt.Sprintf("%.1f", u.Rate)})
+	}
+	c.shared.printTable(rows...)
+	return nil
+}
+
+func upstreamState(u oper.UpstreamStatus) string {
+	switch {
+	case !u.Live:
+		return "silent"
+	case u.Draining:
+		return "draining"
+	}
+	return "live"
+}
+
+func checks(u oper.UpstreamStatus) string {
+	var list []string
+	if u.Upstream.ChecksFence {
+		list = append(list, "fence")
+	}
+	if u.Upstream.ChecksRequestID {
+		list = append(list, "requestId")
+	}
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, "+")
+}
+
+// ownersCommand shows who owns a key.
+type ownersCommand struct {
+	shared  *options
+	Service string `long:"service" required:"yes" description:"the service that the key belongs to"`
+	Args    struct {
+		Key string `positional-arg-name:"KEY" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the owner.
+func (c *ownersCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	answer, err := ask[oper.OwnersRequest, oper.OwnersAnswer](s, oper.Owners, &oper.OwnersRequest{Service: c.Service, Key: c.Args.Key})
+	if err != nil {
+		return err
+	}
+	if c.shared.JSON {
+		return c.shared.printJSON(answer)
+	}
+	c.shared.printTable([]string{"KEY", "HASH", "OWNER", "ADDRESS", "FENCE", "HOME", "MOVING TO"},
+		[]string{answer.Key, fmt.Sprintf("%016x", answer.Hash), answer.Owner, answer.Address,
+			strconv.FormatUint(answer.Fence, 10), answer.Home, answer.Next})
+	return nil
+}
+
+// drainCommand starts or ends a drain.
+type drainCommand struct {
+	shared *options
+	on     bool
+	Args   struct {
+		Name string `positional-arg-name:"UPSTREAM" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute sets the drain and waits until the upstream owns nothing.
+func (c *drainCommand) Execute([]string) (err error) {
+	s, err := c.shared.open()
+	if err != nil {
+		return err
+	}
+	defer s.cancel()
+	if _, err = ask[oper.DrainRequest, oper.Empty](s, oper.Drain, &oper.DrainRequest{Name: c.Args.Name, On: c.on}); err != nil {
+		return err
+	}
+	if !c.on {
+		c.shared.printf("%s takes keys again\n", c.Args.Name)
+		return nil
+	}
+	return c.await(s)
+}
+
+func (c *drainCommand) await(s *session) (err error) {
+	left := 0
+	for s.ctx.Err() == nil {
+		status, err := s.status()
+		if err == nil {
+			if left = slicesOf(status, c.Args.Name); left == 0 {
+				c.shared.printf("%s owns no keys\n", c.Args.Name)
+				return nil
+			}
+			progress("%s still owns %d slices", c.Args.Name, left)
+		}
+		time.Sleep(statusPause)
+	}
+	return &ErrNotReached{What: fmt.Sprintf("drain of %s; it owns %d slices", c.Args.Name, left)}
+}
+
+func slicesOf(status *oper.StatusAnswer, name string) (n int) {
+	for _, u := range status.Upstreams {
+		if u.Upstream.Name == name {
+			n += u.Slices
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/ops/daemon/admin.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Bounds of the admin endpoints.
+const (
+	announceTimeout  = 900 * time.Millisecond
+	maxAnnounceBytes = 64 << 10
+)
+
+// adminHandler serves announcements, readiness, liveness, status and metrics.
+func (d *Daemon) adminHandler() http.Handler {
+	d.registerGauges()
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post("/v1/announce", d.serveAnnounce)
+	app.Get("/v1/status", d.serveStatus)
+	app.Get("/readyz", d.serveReady)
+	app.Get("/livez", func(c iris.Context) { _, _ = c.WriteString("alive\n") })
+	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
+	if err := app.Build(); err != nil {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		})
+	}
+	return app
+}
+
+func (d *Daemon) registerGauges() {
+	gauge := func(name, help string, value func() float64) {
+		d.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("ebonyrill_table_version", "Version of the table in force.", func() float64 { return float64(d.table.View().Version()) })
+	gauge("ebonyrill_config_version", "Version of the configuration in force.", func() float64 {
+		return float64(d.table.View().Config().Version)
+	})
+	gauge("ebonyrill_parked_requests", "Requests that wait for an owner.", func() float64 { return float64(d.table.Parked()) })
+	gauge("ebonyrill_waiting_requests", "Requests that wait for a slot of an upstream.", func() float64 {
+		_, waiting := d.relay.Load()
+		return float64(waiting)
+	})
+	gauge("ebonyrill_busy_slots", "Slots of upstreams in use by this host.", func() float64 {
+		busy, _ := d.relay.Load()
+		return float64(busy)
+	})
+}
+
+// serveAnnounce passes an upstream's announcement on to control.
+func (d *Daemon) serveAnnounce(c iris.Context) {
+	c.SetMaxRequestBodySize(maxAnnounceBytes)
+	var a table.Announcement
+	if err := c.ReadJSON(&a); err != nil {
+		c.StopWithJSON(http.StatusBadRequest, struct {
+			Error string `json:"error"`
+		}{"the announcement is not valid JSON: " + err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), announceTimeout)
+	defer cancel()
+	answer, err := d.follower.Announce(ctx, a)
+	if err != nil {
+		c.StopWithJSON(http.StatusServiceUnavailable, struct {
+			Error string `json:"error"`
+		}{"control did not answer: " + err.Error()})
+		return
+	}
+	_ = c.JSON(answer)
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (d *Daemon) serveReady(c iris.Context) {
+	if d.stopping.Load() || d.table.View().Version() == 0 {
+		c.StopWithText(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	_, _ = c.WriteString("ready\n")
+}
+
+func (d *Daemon) serveStatus(c iris.Context) {
+	view := d.table.View()
+	busy, waiting := d.relay.Load()
+	_ = c.JSON(struct {
+		Host          string `json:"host"`
+		DataCentre    string `json:"dataCentre"`
+		TableVersion  uint64 `json:"tableVersion"`
+		ConfigVersion uint64 `json:"configVersion"`
+		Lease         bool   `json:"lease"`
+		Stopping      bool   `json:"stopping"`
+		Parked        int64  `json:"parked"`
+		Busy          int    `json:"busy"`
+		Waiting       int    `json:"waiting"`
+	}{d.settings.Name(), d.settings.DataCentre(), view.Version(), view.Config().Version, d.follower.Joined(),
+		d.stopping.Load(), d.table.Parked(), busy, waiting})
+}
--- /dev/null
+++ b/internal/ops/daemon/daemon.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/control/grant"
+	"ebonyrill.dev/ebonyrill/internal/control/group"
+	"ebonyrill.dev/ebonyrill/internal/entry/follow"
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/tally"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Times of the daemon's servers.
+const (
+	headerTimeout  = 5 * time.Second
+	callerIdle     = 2 * time.Minute
+	handOverPause  = 600 * time.Millisecond
+	leavePause     = 3 * time.Second
+	leavePollPause = 20 * time.Millisecond
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings *conf.Settings
+	log      *events.Log
+	security *wire.Security
+	group    *group.Group
+	table    *route.Table
+	tally    *tally.Tally
+	follower *follow.Follower
+	relay    *relay.Handler
+	registry *prometheus.Registry
+	callers  *http.Server
+	peers    *http.Server
+	admin    *http.Server
+	stopping atomic.Bool
+	flights  atomic.Int64
+}
+
+// New puts a daemon together; nothing listens yet.
+func New(settings *conf.Settings) (d *Daemon, err error) {
+	defer func() { err = errors.WithMessage(err, "start daemon") }()
+	d = &Daemon{settings: settings, registry: prometheus.NewRegistry()}
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if d.log, err = events.New(settings.LogLevel(), settings.LogLayers(), settings.Name()); err != nil {
+		return nil, err
+	}
+	if err = d.secure(); err != nil {
+		return nil, err
+	}
+	client := wire.NewClient(d.security)
+	if err = d.openGroup(client); err != nil {
+		return nil, err
+	}
+	d.openEntry(client)
+	d.servers()
+	return d, nil
+}
+
+func (d *Daemon) secure() (err error) {
+	if d.settings.Certificate() == "" {
+		d.log.Write(events.PlainText)
+		return nil
+	}
+	refused := func(err error) { d.log.Write(events.PeerRefused, events.Cause(err)) }
+	d.security, err = wire.NewSecurity(d.settings.Certificate(), d.settings.Key(), d.settings.Authority(), refused)
+	return err
+}
+
+func (d *Daemon) openGroup(client *wire.Client) (err error) {
+	if d.settings.DataFolder() == "" {
+		return nil
+	}
+	d.group, err = group.Open(group.Options{Name: d.settings.Name(), Address: d.settings.Peers(),
+		DataCentre: d.settings.DataCentre(), Folder: d.settings.DataFolder(), Timing: agree.DefaultTiming(), Client: client,
+		Terms: grant.NewTerms(d.settings.LeaseTime(), d.settings.MaxHold()), Log: d.log})
+	return err
+}
+
+func (d *Daemon) openEntry(client *wire.Client) {
+	d.table = route.NewTable(d.settings.Name(), d.settings.MaxParked())
+	d.tally = tally.New(d.registry)
+	host := table.EntryHost{Name: d.settings.Name(), Incarnation: uint64(time.Now().UnixNano()),
+		Address: d.settings.Peers(), DataCentre: d.settings.DataCentre()}
+	d.follower = follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(client, d.settings.Control()),
+		Lease: d.settings.LeaseTime(), Table: d.table, Tally: d.tally, Log: d.log})
+	d.relay = relay.NewHandler(relay.Options{Name: d.settings.Name(), Table: d.table, Scheme: client.Scheme(),
+		Security: d.security, MaxBody: int64(d.settings.MaxBodyBytes()), MaxHold: d.settings.MaxHold(),
+		Lease: d.follower.LeaseEnd, Observer: d.tally, Log: d.log})
+}
+
+func (d *Daemon) servers() {
+	d.callers = &http.Server{Handler: d.counted(http.HandlerFunc(d.relay.ServeHTTP)), ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: callerIdle, MaxHeaderBytes: d.settings.MaxHeaderBytes()}
+	d.peers = &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	if d.security != nil {
+		d.peers.TLSConfig = d.security.ServerConfig()
+	}
+}
+
+// counted notes requests in flight, and asks callers to leave their connections once the daemon is stopping.
+func (d *Daemon) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.flights.Add(1)
+		defer d.flights.Add(-1)
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run listens and serves until a signal ends it or a part fails; all parts stop together.
+func (d *Daemon) Run() (err error) {
+	defer func() { err = errors.WithMessage(err, "run daemon") }()
+	defer d.log.Sync()
+	var parts run.Group
+	d.log.Write(events.Starting, zap.Int("pid", os.Getpid()))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d.group != nil {
+		parts.Add(d.group.Run, func(error) { d.group.Stop() })
+	}
+	parts.Add(func() error { return d.follower.RunRenewals(ctx) }, func(error) { cancel() })
+	parts.Add(func() error { return d.follower.RunWatch(ctx) }, func(error) { cancel() })
+	for _, s := range []served{{d.callers, d.settings.Callers(), false}, {d.peers, d.settings.Peers(), d.security != nil},
+		{d.admin, d.settings.Admin(), false}} {
+		if err = s.addTo(&parts); err != nil {
+			return err
+		}
+	}
+	d.addSignals(&parts)
+	d.log.Write(events.Ready, zap.String("callers", d.settings.Callers()))
+	if err = parts.Run(); err != nil {
+		d.log.Write(events.Failed, events.Cause(err))
+		return err
+	}
+	d.log.Write(events.Stopped)
+	return nil
+}
+
+// served is one server with its address.
+type served struct {
+	server  *http.Server
+	address string
+	secure  bool
+}
+
+func (s served) addTo(parts *run.Group) (err error) {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	parts.Add(func() error {
+		if s.secure {
+			err = s.server.ServeTLS(listener, "", "")
+		} else {
+			err = s.server.Serve(listener)
+		}
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) { _ = s.server.Close() })
+	return nil
+}
+
+// addSignals stops the daemon in order on SIGTERM and SIGINT; a second signal stops it at once.
+func (d *Daemon) addSignals(parts *run.Group) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	quit := make(chan struct{})
+	parts.Add(func() error {
+		select {
+		case <-signals:
+			d.drain(signals)
+		case <-quit:
+		}
+		return nil
+	}, func(error) { close(quit) })
+}
+
+// drain stops being ready, serves on while the balancer moves away, leaves the table, lets requests finish and hands
+// over leadership, in that order and within the bound.
+func (d *Daemon) drain(signals <-chan os.Signal) {
+	d.stopping.Store(true)
+	d.log.Write(events.Stopping)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainNotice()+d.settings.DrainBound())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	pause(ctx, d.settings.DrainNotice())
+	d.follower.Leave()
+	d.awaitLeft(ctx)
+	_ = d.callers.Shutdown(ctx)
+	d.awaitFlights(ctx)
+	if d.group != nil {
+		d.group.HandOver(ctx)
+		pause(ctx, handOverPause)
+	}
+	_ = d.peers.Shutdown(ctx)
+	if d.flights.Load() > 0 {
+		d.log.Write(events.DrainCut, zap.Int64("requests", d.flights.Load()))
+		return
+	}
+	d.log.Write(events.Drained)
+}
+
+// awaitLeft waits until the table names this host no longer, so that no other entry host sends here.
+func (d *Daemon) awaitLeft(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leavePause)
+	defer cancel()
+	for ctx.Err() == nil && d.inTable() {
+		pause(ctx, leavePollPause)
+	}
+	pause(ctx, d.settings.LeaseTime()/4)
+}
+
+func (d *Daemon) inTable() bool {
+	for _, e := range d.table.View().Entries() {
+		if e.Name == d.settings.Name() {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) awaitFlights(ctx context.Context) {
+	for ctx.Err() == nil && d.flights.Load() > 0 {
+		pause(ctx, leavePollPause)
+	}
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
--- /dev/null
+++ b/internal/ops/daemon/peers.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// hopHeader marks a caller's request that another entry host passes on.
+const hopHeader = "Ebonyrill-Hop"
+
+// peerHandler serves calls of other daemons and of operators, and requests that other entry hosts pass on.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	wire.Handle(mux, oper.Burn, d.burn)
+	if d.group != nil {
+		d.group.Serve(mux)
+	} else {
+		d.pointToControl(mux)
+	}
+	hops := d.counted(http.HandlerFunc(d.relay.ServeHop))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(hopHeader) != "" {
+			hops.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// pointToControl answers operators' calls on a host without the control role with the leader's address.
+func (d *Daemon) pointToControl(mux *http.ServeMux) {
+	redirect(d, mux, oper.Publish, oper.PublishRequest{}, table.Outcome{})
+	redirect(d, mux, oper.Current, oper.Empty{}, table.Config{})
+	redirect(d, mux, oper.Status, oper.Empty{}, oper.StatusAnswer{})
+	redirect(d, mux, oper.Owners, oper.OwnersRequest{}, oper.OwnersAnswer{})
+	redirect(d, mux, oper.Drain, oper.DrainRequest{}, oper.Empty{})
+	redirect(d, mux, oper.Members, oper.MembersRequest{}, oper.Empty{})
+}
+
+func redirect[Req, Res any](d *Daemon, mux *http.ServeMux, procedure string, _ Req, _ Res) {
+	wire.Handle(mux, procedure, func(context.Context, *Req) (*Res, error) {
+		return nil, &wire.ErrNoLeader{Leader: d.follower.Leader()}
+	})
+}
+
+// burn answers with what this entry host counted.
+func (d *Daemon) burn(context.Context, *oper.Empty) (*oper.BurnAnswer, error) {
+	answer := &oper.BurnAnswer{Host: d.settings.Name()}
+	for _, s := range d.table.View().Services() {
+		answer.Services = append(answer.Services, d.tally.Book().Series(s.Name(), s.GoodShare(), s.LatencyBound()))
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/ops/events/events.go
@@ -0,0 +1,139 @@
+package events
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Layer is a part of the system whose details can be logged by name.
+type Layer string
+
+// Layers.
+const (
+	LayerDaemon  Layer = "daemon"
+	LayerControl Layer = "control"
+	LayerEntry   Layer = "entry"
+	LayerWire    Layer = "wire"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	number int
+	level  zapcore.Level
+	layer  Layer
+	text   string
+}
+
+// Number returns the event's number.
+func (e Event) Number() int { return e.number }
+
+// Text returns the event's text.
+func (e Event) Text() string { return e.text }
+
+// Level returns the level the event is logged at.
+func (e Event) Level() zapcore.Level { return e.level }
+
+// Layer returns the layer the event belongs to.
+func (e Event) Layer() Layer { return e.layer }
+
+// Events of the daemons.
+var (
+	Starting         = event(1001, zap.InfoLevel, LayerDaemon, "daemon starting")
+	Ready            = event(1002, zap.InfoLevel, LayerDaemon, "ready for callers")
+	Stopping         = event(1003, zap.InfoLevel, LayerDaemon, "stopping, no longer ready")
+	Drained          = event(1004, zap.InfoLevel, LayerDaemon, "requests finished")
+	DrainCut         = event(1005, zap.WarnLevel, LayerDaemon, "drain bound reached with requests unfinished")
+	Stopped          = event(1006, zap.InfoLevel, LayerDaemon, "daemon stopped")
+	PlainText        = event(1007, zap.WarnLevel, LayerDaemon, "ports between daemons use plain text on loopback")
+	Failed           = event(1008, zap.ErrorLevel, LayerDaemon, "daemon failed")
+	PeerRefused      = event(1101, zap.WarnLevel, LayerWire, "peer refused")
+	RoleChanged      = event(2001, zap.InfoLevel, LayerControl, "role in the control group changed")
+	Leading          = event(2002, zap.InfoLevel, LayerControl, "leading with a valid lease")
+	SnapshotSaved    = event(2003, zap.InfoLevel, LayerControl, "snapshot saved")
+	SnapshotTaken    = event(2004, zap.InfoLevel, LayerControl, "snapshot installed from the leader")
+	GroupJoined      = event(2005, zap.InfoLevel, LayerControl, "data folder joined a control group")
+	MembersChanged   = event(2006, zap.InfoLevel, LayerControl, "membership of the control group changes")
+	UpstreamJoined   = event(2101, zap.InfoLevel, LayerControl, "upstream joined")
+	UpstreamLost     = event(2102, zap.WarnLevel, LayerControl, "upstream lost its lease")
+	UpstreamRefused  = event(2103, zap.WarnLevel, LayerControl, "announcement refused")
+	UpstreamAvoided  = event(2104, zap.WarnLevel, LayerControl, "upstream fails requests, its slices are moved")
+	EntryJoined      = event(2111, zap.InfoLevel, LayerControl, "entry host joined")
+	EntryLost        = event(2112, zap.WarnLevel, LayerControl, "entry host lost its lease")
+	ConfigAccepted   = event(2201, zap.InfoLevel, LayerControl, "configuration accepted")
+	ConfigRejected   = event(2202, zap.InfoLevel, LayerControl, "configuration not accepted")
+	SlicesPlanned    = event(2301, zap.DebugLevel, LayerControl, "slice operations proposed")
+	ProposalLost     = event(2302, zap.DebugLevel, LayerControl, "proposal not made")
+	TableApplied     = event(3001, zap.DebugLevel, LayerEntry, "table version applied")
+	TableRefused     = event(3002, zap.WarnLevel, LayerEntry, "table version refused")
+	ConfigInForce    = event(3003, zap.InfoLevel, LayerEntry, "configuration version in force")
+	ControlLost      = event(3101, zap.WarnLevel, LayerEntry, "no control leader answers")
+	ControlFound     = event(3102, zap.InfoLevel, LayerEntry, "control leader answers again")
+	RequestTruncated = event(3201, zap.WarnLevel, LayerEntry, "upstream's answer was cut short, caller's connection broken")
+	PathCondemned    = event(3202, zap.InfoLevel, LayerEntry, "connection went silent, idle ones to the same upstream closed")
+)
+
+// catalogue lists the events by number.
+var catalogue map[int]Event
+
+func event(number int, level zapcore.Level, layer Layer, text string) Event {
+	if catalogue == nil {
+		catalogue = map[int]Event{}
+	}
+	e := Event{number: number, level: level, layer: layer, text: text}
+	catalogue[number] = e
+	return e
+}
+
+// Catalogue returns all events by number.
+func Catalogue() map[int]Event { return catalogue }
+
+// Log writes numbered events.
+type Log struct {
+	zap    *zap.Logger
+	layers map[Layer]bool
+}
+
+// New returns a log at the level; details of the named layers are logged whatever the level.
+func New(level, layers, host string) (l *Log, err error) {
+	defer func() { err = errors.WithMessage(err, "open log") }()
+	lowest, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	l = &Log{layers: map[Layer]bool{}}
+	for _, name := range strings.Split(layers, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			l.layers[Layer(name)] = true
+			lowest = zap.DebugLevel
+		}
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(lowest)
+	c.DisableStacktrace, c.DisableCaller = true, true
+	c.Sampling = nil
+	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	l.zap, err = c.Build(zap.Fields(zap.String("host", host)))
+	return l, err
+}
+
+// Nop returns a log that writes nothing.
+func Nop() *Log { return &Log{zap: zap.NewNop()} }
+
+// Write logs an event with its fields; details below info are written only for layers that were named.
+func (l *Log) Write(e Event, fields ...zap.Field) {
+	if e.level == zap.DebugLevel && !l.layers[e.layer] {
+		return
+	}
+	if entry := l.zap.Check(e.level, e.text); entry != nil {
+		entry.Write(append(fields, zap.Int("event", e.number), zap.String("layer", string(e.layer)))...)
+	}
+}
+
+// Sync flushes the log.
+func (l *Log) Sync() { _ = l.zap.Sync() }
+
+// Cause returns the field that tells why something happened.
+func Cause(err error) zap.Field { return zap.String("error", err.Error()) }
--- /dev/null
+++ b/internal/sample/owner/owner.go
@@ -0,0 +1,214 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Times of a sample upstream.
+const (
+	announcePeriod  = 200 * time.Millisecond
+	announceTimeout = 400 * time.Millisecond
+	joinPause       = 30 * time.Millisecond
+	leaveBound      = 10 * time.Second
+)
+
+// Options describe a sample upstream.
+type Options struct {
+	Name        string
+	Service     string
+	Address     string
+	DataCentre  string
+	Entries     []string
+	ChecksFence bool
+	Slots       int
+	Work        time.Duration
+	Journal     string
+}
+
+// Owner is a sample upstream.
+type Owner struct {
+	options     Options
+	grants      *Grants
+	incarnation uint64
+	sequence    uint64
+	next        int
+	leaving     atomic.Bool
+	slots       chan struct{}
+	busy        atomic.Int64
+	journal     *os.File
+	client      *http.Client
+}
+
+// New returns a sample upstream.
+func New(o Options) (u *Owner, err error) {
+	u = &Owner{options: o, grants: NewGrants(), incarnation: uint64(time.Now().UnixNano()), slots: make(chan struct{}, o.Slots)}
+	u.client = &http.Client{Timeout: announceTimeout}
+	if o.Journal != "" {
+		u.journal, err = os.OpenFile(o.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	}
+	return u, errors.WithMessage(err, "open journal")
+}
+
+// Run serves until the context ends, then leaves: it serves on until it owns nothing.
+func (u *Owner) Run(ctx context.Context) (err error) {
+	listener, err := net.Listen("tcp", u.options.Address)
+	if err != nil {
+		return errors.WithMessage(err, "sample upstream")
+	}
+	server := &http.Server{Handler: u}
+	go func() { _ = server.Serve(listener) }()
+	stop := make(chan struct{})
+	finished := make(chan struct{})
+	go func() {
+		u.announce(stop)
+		close(finished)
+	}()
+	<-ctx.Done()
+	u.leaving.Store(true)
+	for until := time.Now().Add(leaveBound); time.Now().Before(until) && (u.grants.Len() > 0 || u.busy.Load() > 0); {
+		time.Sleep(joinPause)
+	}
+	close(stop)
+	<-finished
+	bounded, cancel := context.WithTimeout(context.Background(), leaveBound)
+	defer cancel()
+	return server.Shutdown(bounded)
+}
+
+// announce keeps the lease; a changed grant is acknowledged at once.
+func (u *Owner) announce(stop <-chan struct{}) {
+	for {
+		pause := announcePeriod
+		sentAt := time.Now()
+		answer, err := u.send()
+		if err != nil {
+			u.next++
+			pause = joinPause
+		} else if u.take(answer, sentAt) {
+			pause = joinPause
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (u *Owner) send() (answer table.GrantAnswer, err error) {
+	u.sequence++
+	a := table.Announcement{Name: u.options.Name, Incarnation: u.incarnation, Sequence: u.sequence, Service: u.options.Service,
+		Address: u.options.Address, DataCentre: u.options.DataCentre, ChecksFence: u.options.ChecksFence, Slots: u.options.Slots,
+		Connections: 130, Held: u.grants.Held(), Leaving: u.leaving.Load(), Healthy: true, Load: float64(u.busy.Load())}
+	body, err := json.Marshal(a)
+	if err != nil {
+		return answer, err
+	}
+	entry := u.options.Entries[u.next%len(u.options.Entries)]
+	response, err := u.client.Post("http://"+entry+"/v1/announce", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, errors.Errorf("announce: status %d", response.StatusCode)
+	}
+	if err = json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return answer, err
+	}
+	if answer.Incarnation != a.Incarnation || answer.Sequence != a.Sequence {
+		return answer, errors.New("announce: the answer belongs to another announcement")
+	}
+	return answer, nil
+}
+
+// take takes an answer in and reports whether to announce again soon.
+func (u *Owner) take(a table.GrantAnswer, sentAt time.Time) (soon bool) {
+	switch a.Status {
+	case table.GrantHeld:
+		u.grants.Adopt(a, sentAt)
+		return a.Changed
+	case table.GrantStale:
+		u.grants.Void()
+		u.incarnation = uint64(time.Now().UnixNano())
+	}
+	return true
+}
+
+// ServeHTTP serves one request of an entry host.
+func (u *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(relay.HeaderAttemptID, r.Header.Get(relay.HeaderAttemptID))
+	hash, _ := strconv.ParseUint(r.Header.Get(relay.HeaderKeyHash), 10, 64)
+	fence, _ := strconv.ParseUint(r.Header.Get(relay.HeaderFence), 10, 64)
+	deadline, _ := strconv.ParseInt(r.Header.Get(relay.HeaderDeadline), 10, 64)
+	body, err := io.ReadAll(r.Body)
+	if err != nil || time.Now().UnixMilli() >= deadline {
+		refuse(w, relay.ReasonShed)
+		return
+	}
+	select {
+	case u.slots <- struct{}{}:
+		defer func() { <-u.slots }()
+	default:
+		refuse(w, relay.ReasonShed)
+		return
+	}
+	u.busy.Add(1)
+	defer u.busy.Add(-1)
+	end := func() {}
+	if u.options.ChecksFence {
+		var ok bool
+		if end, ok = u.grants.Begin(hash, fence, time.Now()); !ok {
+			refuse(w, relay.ReasonFence)
+			return
+		}
+	} else {
+		end = u.grants.BeginUnchecked(hash, fence)
+	}
+	defer end()
+	u.work(w, r, fence, body)
+}
+
+// work does what a request asks for and notes it in the journal.
+func (u *Owner) work(w http.ResponseWriter, r *http.Request, fence uint64, body []byte) {
+	started := time.Now()
+	time.Sleep(u.options.Work)
+	key := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	name := ""
+	if len(key) > 1 {
+		name = key[1]
+	}
+	if u.journal != nil {
+		fmt.Fprintf(u.journal, "%d %d %s %s %s %d %s\n", started.UnixNano(), time.Now().UnixNano(), u.options.Name, r.Method, name,
+			fence, r.Header.Get(relay.HeaderRequestID))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct {
+		Owner string `json:"owner"`
+		Fence uint64 `json:"fence"`
+		Key   string `json:"key"`
+		Echo  string `json:"echo"`
+	}{u.options.Name, fence, name, string(body)})
+}
+
+func refuse(w http.ResponseWriter, reason relay.Reason) {
+	w.Header().Set(relay.HeaderOutcome, string(relay.NotRun))
+	w.Header().Set(relay.HeaderReason, string(reason))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/shared/oper/doc.go
@@ -0,0 +1,2 @@
+// Package oper holds the calls that daemons and operators make to control hosts.
+package oper
--- /dev/null
+++ b/internal/shared/oper/oper.go
@@ -0,0 +1,204 @@
+package oper
+
+import (
+	"connectrpc.com/connect"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Procedures of control hosts.
+const (
+	Deliver   = "/ebonyrill.v1.Group/Deliver"
+	Identify  = "/ebonyrill.v1.Group/Identify"
+	Bootstrap = "/ebonyrill.v1.Group/Bootstrap"
+	Renew     = "/ebonyrill.v1.Control/Renew"
+	Watch     = "/ebonyrill.v1.Control/Watch"
+	Publish   = "/ebonyrill.v1.Operators/Publish"
+	Current   = "/ebonyrill.v1.Operators/Current"
+	Status    = "/ebonyrill.v1.Operators/Status"
+	Owners    = "/ebonyrill.v1.Operators/Owners"
+	Drain     = "/ebonyrill.v1.Operators/Drain"
+	Members   = "/ebonyrill.v1.Operators/Members"
+	Burn      = "/ebonyrill.v1.Operators/Burn"
+)
+
+// Empty is the body of a call without arguments or without an answer.
+type Empty struct{}
+
+// PublishRequest proposes a set of service files in place of version Base; ID makes a resend safe.
+type PublishRequest struct {
+	ID    string      `cbor:"1,keyasint"`
+	Base  uint64      `cbor:"2,keyasint"`
+	By    string      `cbor:"3,keyasint"`
+	Files []conf.File `cbor:"4,keyasint"`
+}
+
+// OwnersRequest asks who owns a key.
+type OwnersRequest struct {
+	Service string `cbor:"1,keyasint"`
+	Key     string `cbor:"2,keyasint"`
+}
+
+// OwnersAnswer tells who owns a key.
+type OwnersAnswer struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	Key     string `cbor:"2,keyasint" json:"key"`
+	Hash    uint64 `cbor:"3,keyasint" json:"hash,string"`
+	Owner   string `cbor:"4,keyasint" json:"owner"`
+	Address string `cbor:"5,keyasint" json:"address"`
+	Next    string `cbor:"6,keyasint" json:"next,omitempty"`
+	Fence   uint64 `cbor:"7,keyasint" json:"fence"`
+	Home    string `cbor:"8,keyasint" json:"home"`
+}
+
+// DrainRequest starts or ends the drain of an upstream.
+type DrainRequest struct {
+	Name string `cbor:"1,keyasint"`
+	On   bool   `cbor:"2,keyasint"`
+}
+
+// MembersAction tells what to do with a control host.
+type MembersAction string
+
+// Actions on control hosts.
+const (
+	AddLearner MembersAction = "addLearner"
+	Promote    MembersAction = "promote"
+	Remove     MembersAction = "remove"
+)
+
+// MembersRequest changes the control group; Address names the host for AddLearner, ID for the others.
+type MembersRequest struct {
+	Action  MembersAction `cbor:"1,keyasint"`
+	Address string        `cbor:"2,keyasint"`
+	ID      uint64        `cbor:"3,keyasint"`
+}
+
+// Identity is what a control host says of itself.
+type Identity struct {
+	ID         uint64 `cbor:"1,keyasint" json:"id"`
+	Joined     bool   `cbor:"2,keyasint" json:"joined"`
+	Name       string `cbor:"3,keyasint" json:"name"`
+	Address    string `cbor:"4,keyasint" json:"address"`
+	DataCentre string `cbor:"5,keyasint" json:"dataCentre"`
+}
+
+// BootstrapRequest starts a group of the listed control hosts.
+type BootstrapRequest struct {
+	Members []Identity `cbor:"1,keyasint"`
+}
+
+// MemberStatus is one control host in a status.
+type MemberStatus struct {
+	ID         uint64 `cbor:"1,keyasint" json:"id"`
+	Address    string `cbor:"2,keyasint" json:"address"`
+	DataCentre string `cbor:"3,keyasint" json:"dataCentre"`
+	Voter      bool   `cbor:"4,keyasint" json:"voter"`
+	Leader     bool   `cbor:"5,keyasint" json:"leader"`
+	Heard      bool   `cbor:"6,keyasint" json:"heard"`
+	CaughtUp   bool   `cbor:"7,keyasint" json:"caughtUp"`
+	Match      uint64 `cbor:"8,keyasint" json:"match"`
+}
+
+// EntryStatus is one entry host in a status.
+type EntryStatus struct {
+	Name       string `cbor:"1,keyasint" json:"name"`
+	Address    string `cbor:"2,keyasint" json:"address"`
+	DataCentre string `cbor:"3,keyasint" json:"dataCentre"`
+	Live       bool   `cbor:"4,keyasint" json:"live"`
+	Applied    uint64 `cbor:"5,keyasint" json:"applied"`
+	Lost       bool   `cbor:"6,keyasint" json:"lost"`
+}
+
+// UpstreamStatus is one upstream in a status.
+type UpstreamStatus struct {
+	Upstream table.Upstream `cbor:"1,keyasint" json:"upstream"`
+	Live     bool           `cbor:"2,keyasint" json:"live"`
+	Draining bool           `cbor:"3,keyasint" json:"draining"`
+	Slices   int            `cbor:"4,keyasint" json:"slices"`
+	Share    float64        `cbor:"5,keyasint" json:"share"`
+	Rate     float64        `cbor:"6,keyasint" json:"rate"`
+}
+
+// StatusAnswer is the leader's picture of the system.
+type StatusAnswer struct {
+	Term           uint64           `cbor:"1,keyasint" json:"term"`
+	Commit         uint64           `cbor:"2,keyasint" json:"commit"`
+	ConfigVersion  uint64           `cbor:"3,keyasint" json:"configVersion"`
+	TableVersion   uint64           `cbor:"4,keyasint" json:"tableVersion"`
+	Members        []MemberStatus   `cbor:"5,keyasint" json:"members"`
+	Entries        []EntryStatus    `cbor:"6,keyasint" json:"entries"`
+	Upstreams      []UpstreamStatus `cbor:"7,keyasint" json:"upstreams"`
+	Handovers      int              `cbor:"8,keyasint" json:"handovers"`
+	Unowned        int              `cbor:"9,keyasint" json:"unowned"`
+	FullRedundancy bool             `cbor:"10,keyasint" json:"fullRedundancy"`
+	MovedShare     float64          `cbor:"11,keyasint" json:"movedShare"`
+}
+
+// InForce reports whether every live entry host has applied the configuration, and names those that have not.
+func (s *StatusAnswer) InForce() (everywhere bool, lagging []string) {
+	for _, e := range s.Entries {
+		if e.Lost || e.Applied < s.ConfigVersion {
+			lagging = append(lagging, e.Name)
+		}
+	}
+	return len(lagging) == 0, lagging
+}
+
+// BurnCount is how the requests of one service fared in one step of time.
+type BurnCount struct {
+	Good        int64 `cbor:"1,keyasint" json:"good"`
+	Unavailable int64 `cbor:"2,keyasint" json:"unavailable"`
+	Slow        int64 `cbor:"3,keyasint" json:"slow"`
+	Shed        int64 `cbor:"4,keyasint" json:"shed"`
+	Moved       int64 `cbor:"5,keyasint" json:"moved"`
+}
+
+// BurnSeries is one service's counts in steps of one minute; Minute is the Unix minute of the first step.
+type BurnSeries struct {
+	Service       string      `cbor:"1,keyasint" json:"service"`
+	GoodShare     float64     `cbor:"2,keyasint" json:"goodShare"`
+	LatencyMillis float64     `cbor:"3,keyasint" json:"latencyMillis"`
+	Minute        int64       `cbor:"4,keyasint" json:"minute"`
+	Steps         []BurnCount `cbor:"5,keyasint" json:"steps"`
+}
+
+// BurnAnswer holds what one entry host counted since it started.
+type BurnAnswer struct {
+	Host     string       `cbor:"1,keyasint" json:"host"`
+	Services []BurnSeries `cbor:"2,keyasint" json:"services"`
+}
+
+// ErrRefused is returned for a call that was understood and turned down; nothing was changed.
+type ErrRefused struct {
+	Reason string
+}
+
+// Error returns the message.
+func (e *ErrRefused) Error() string { return e.Reason }
+
+// Code returns the code that crosses the wire.
+func (e *ErrRefused) Code() connect.Code { return connect.CodeFailedPrecondition }
+
+// ErrInvalid is returned for a call whose arguments are not valid; nothing was changed.
+type ErrInvalid struct {
+	Reason string
+}
+
+// Error returns the message.
+func (e *ErrInvalid) Error() string { return e.Reason }
+
+// Code returns the code that crosses the wire.
+func (e *ErrInvalid) Code() connect.Code { return connect.CodeInvalidArgument }
+
+// ErrOutcomeUnknown is returned when leadership was lost before a proposal was decided; a resend finds out.
+type ErrOutcomeUnknown struct{}
+
+// Error returns the message.
+func (e *ErrOutcomeUnknown) Error() string {
+	return "leadership was lost before the proposal was decided; send it again with the same id"
+}
+
+// Code returns the code that crosses the wire.
+func (e *ErrOutcomeUnknown) Code() connect.Code { return connect.CodeUnavailable }
--- /dev/null
+++ b/internal/shared/slice/doc.go
@@ -0,0 +1,2 @@
+// Package slice cuts a service's 64-bit hash space into contiguous slices, each with an owner and a fence.
+package slice
--- /dev/null
+++ b/internal/shared/slice/slice.go
@@ -0,0 +1,164 @@
+package slice
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Slice is the run of hashes from Start to the next slice's start; Owner and Next are upstream numbers, zero for none.
+type Slice struct {
+	_     struct{} `cbor:",toarray"`
+	Start uint64
+	Fence uint64
+	Owner uint32
+	Next  uint32
+}
+
+// Moving reports whether the slice is being handed from its owner to Next.
+func (s Slice) Moving() bool { return s.Next != 0 }
+
+// Change puts a slice at its start, or removes the slice that starts there.
+type Change struct {
+	_       struct{} `cbor:",toarray"`
+	Slice   Slice
+	Removed bool
+}
+
+// ErrBadChange is returned when changes do not fit the set.
+type ErrBadChange struct {
+	Reason string
+}
+
+// Error returns the message.
+func (e *ErrBadChange) Error() string { return "slice change does not fit: " + e.Reason }
+
+// Set is an immutable division of the hash space, ordered by start; the first slice starts at zero.
+type Set struct {
+	slices []Slice
+}
+
+// HashKey maps a key to its place in the hash space.
+func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
+
+// NewSet returns a division into count slices of equal width without owners.
+func NewSet(count int) Set {
+	width := ^uint64(0)/uint64(count) + 1
+	if count == 1 {
+		width = 0
+	}
+	s := make([]Slice, count)
+	for i := range s {
+		s[i].Start = uint64(i) * width
+	}
+	return Set{slices: s}
+}
+
+// FromSlices returns the set of the given slices, which must be ordered and start at zero.
+func FromSlices(s []Slice) (set Set, err error) {
+	if len(s) == 0 || s[0].Start != 0 {
+		return Set{}, &ErrBadChange{Reason: "the first slice must start at 0"}
+	}
+	for i := 1; i < len(s); i++ {
+		if s[i].Start <= s[i-1].Start {
+			return Set{}, &ErrBadChange{Reason: fmt.Sprintf("slice %d does not start after the one before", i)}
+		}
+	}
+	return Set{slices: s}, nil
+}
+
+// Len returns the number of slices.
+func (s Set) Len() int { return len(s.slices) }
+
+// At returns the slice at a position.
+func (s Set) At(i int) Slice { return s.slices[i] }
+
+// Slices returns a copy of all slices.
+func (s Set) Slices() []Slice { return slices.Clone(s.slices) }
+
+// Position returns the position of the slice that holds the hash.
+func (s Set) Position(hash uint64) int {
+	low, high := 0, len(s.slices)
+	for high-low > 1 {
+		middle := int(uint(low+high) >> 1)
+		if s.slices[middle].Start <= hash {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// Find returns the slice that holds the hash.
+func (s Set) Find(hash uint64) Slice { return s.slices[s.Position(hash)] }
+
+// StartsAt returns the slice that starts exactly at the hash.
+func (s Set) StartsAt(start uint64) (found Slice, ok bool) {
+	found = s.Find(start)
+	return found, found.Start == start
+}
+
+// Last returns the last hash of the slice at a position.
+func (s Set) Last(i int) uint64 {
+	if i+1 < len(s.slices) {
+		return s.slices[i+1].Start - 1
+	}
+	return ^uint64(0)
+}
+
+// Share returns the part of the hash space that the slice at a position covers, between 0 and 1.
+func (s Set) Share(i int) float64 {
+	return (float64(s.Last(i)-s.slices[i].Start) + 1) / (float64(1<<63) * 2)
+}
+
+// Apply returns the set with the changes made; the receiver stays as it is.
+func (s Set) Apply(changes []Change) (next Set, err error) {
+	ordered := slices.Clone(changes)
+	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].Slice.Start < ordered[j].Slice.Start })
+	merged := make([]Slice, 0, len(s.slices)+len(changes))
+	i := 0
+	for k, c := range ordered {
+		if k+1 < len(ordered) && ordered[k+1].Slice.Start == c.Slice.Start {
+			continue
+		}
+		for i < len(s.slices) && s.slices[i].Start < c.Slice.Start {
+			merged = append(merged, s.slices[i])
+			i++
+		}
+		if i < len(s.slices) && s.slices[i].Start == c.Slice.Start {
+			i++
+		} else if c.Removed {
+			return Set{}, &ErrBadChange{Reason: "no slice starts where one is removed"}
+		}
+		if !c.Removed {
+			merged = append(merged, c.Slice)
+		}
+	}
+	merged = append(merged, s.slices[i:]...)
+	return FromSlices(merged)
+}
+
+// Digest returns a checksum over all slices.
+func (s Set) Digest() uint64 {
+	var sum uint64
+	for _, e := range s.slices {
+		sum += e.digest()
+	}
+	return sum
+}
+
+func (s Slice) digest() uint64 {
+	h := mix(s.Start ^ mix(s.Fence))
+	return mix(h ^ uint64(s.Owner)<<32 ^ uint64(s.Next))
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/shared/table/announce.go
@@ -0,0 +1,107 @@
+package table
+
+import "time"
+
+// Announcement is what an upstream says of itself, again and again.
+type Announcement struct {
+	Name            string  `cbor:"1,keyasint" json:"name"`
+	Incarnation     uint64  `cbor:"2,keyasint" json:"incarnation"`
+	Sequence        uint64  `cbor:"3,keyasint" json:"sequence"`
+	Service         string  `cbor:"4,keyasint" json:"service"`
+	Address         string  `cbor:"5,keyasint" json:"address"`
+	DataCentre      string  `cbor:"6,keyasint" json:"dataCentre"`
+	ChecksFence     bool    `cbor:"7,keyasint" json:"checksFence"`
+	ChecksRequestID bool    `cbor:"8,keyasint" json:"checksRequestId"`
+	Slots           int     `cbor:"9,keyasint" json:"slots"`
+	Connections     int     `cbor:"10,keyasint" json:"connections"`
+	Held            uint64  `cbor:"11,keyasint" json:"held"`
+	Leaving         bool    `cbor:"12,keyasint" json:"leaving"`
+	Healthy         bool    `cbor:"13,keyasint" json:"healthy"`
+	Load            float64 `cbor:"14,keyasint" json:"load"`
+}
+
+// GrantStatus tells an upstream how its announcement was met.
+type GrantStatus string
+
+// Ways in which an announcement is met.
+const (
+	// GrantHeld tells that the lease is renewed.
+	GrantHeld GrantStatus = "held"
+	// GrantJoining tells that the upstream is being taken in; it announces again.
+	GrantJoining GrantStatus = "joining"
+	// GrantStale tells that the incarnation has ended; the upstream drops its grants and comes back as a new one.
+	GrantStale GrantStatus = "stale"
+	// GrantRefused tells that the announcement was not valid.
+	GrantRefused GrantStatus = "refused"
+)
+
+// Grant is one run of hashes, both ends included, with its fence.
+type Grant struct {
+	From  uint64 `cbor:"1,keyasint" json:"from,string"`
+	To    uint64 `cbor:"2,keyasint" json:"to,string"`
+	Fence uint64 `cbor:"3,keyasint" json:"fence"`
+}
+
+// GrantAnswer answers an announcement; Grants is absent when the version is the one the upstream holds.
+type GrantAnswer struct {
+	Name        string      `cbor:"1,keyasint" json:"name"`
+	Incarnation uint64      `cbor:"2,keyasint" json:"incarnation"`
+	Sequence    uint64      `cbor:"3,keyasint" json:"sequence"`
+	Status      GrantStatus `cbor:"4,keyasint" json:"status"`
+	Reason      string      `cbor:"5,keyasint" json:"reason,omitempty"`
+	LeaseMillis int64       `cbor:"6,keyasint" json:"leaseMillis"`
+	Version     uint64      `cbor:"7,keyasint" json:"version"`
+	Changed     bool        `cbor:"8,keyasint" json:"changed"`
+	Grants      []Grant     `cbor:"9,keyasint" json:"grants,omitempty"`
+	Draining    bool        `cbor:"10,keyasint" json:"draining"`
+}
+
+// SliceCount is how many requests a slice had since the last report.
+type SliceCount struct {
+	Service string  `cbor:"1,keyasint"`
+	Start   uint64  `cbor:"2,keyasint"`
+	Count   float64 `cbor:"3,keyasint"`
+}
+
+// KeyCount is how many requests a hot key had since the last report.
+type KeyCount struct {
+	Service string  `cbor:"1,keyasint"`
+	Hash    uint64  `cbor:"2,keyasint"`
+	Count   float64 `cbor:"3,keyasint"`
+}
+
+// UpstreamSight is what an entry host saw of an upstream since the last report.
+type UpstreamSight struct {
+	Number   uint32 `cbor:"1,keyasint"`
+	Answered int    `cbor:"2,keyasint"`
+	Failed   int    `cbor:"3,keyasint"`
+}
+
+// Renewal is what an entry host sends to the control leader: its own lease, the announcements it took in, and load.
+type Renewal struct {
+	Host          EntryHost       `cbor:"1,keyasint"`
+	Applied       uint64          `cbor:"2,keyasint"`
+	Oldest        uint64          `cbor:"3,keyasint"`
+	Leaving       bool            `cbor:"4,keyasint,omitempty"`
+	Announcements []Announcement  `cbor:"5,keyasint,omitempty"`
+	Period        time.Duration   `cbor:"6,keyasint,omitempty"`
+	Slices        []SliceCount    `cbor:"7,keyasint,omitempty"`
+	Keys          []KeyCount      `cbor:"8,keyasint,omitempty"`
+	Sights        []UpstreamSight `cbor:"9,keyasint,omitempty"`
+}
+
+// RenewalAnswer answers a renewal.
+type RenewalAnswer struct {
+	Joined      bool          `cbor:"1,keyasint"`
+	LeaseMillis int64         `cbor:"2,keyasint"`
+	Version     uint64        `cbor:"3,keyasint"`
+	Grants      []GrantAnswer `cbor:"4,keyasint,omitempty"`
+}
+
+// Watch asks for what changed since a version and waits up to Hold for a change.
+type Watch struct {
+	Name    string        `cbor:"1,keyasint"`
+	Version uint64        `cbor:"2,keyasint"`
+	Digest  uint64        `cbor:"3,keyasint"`
+	Hold    time.Duration `cbor:"4,keyasint"`
+}
--- /dev/null
+++ b/internal/shared/table/types.go
@@ -0,0 +1,69 @@
+package table
+
+import (
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+)
+
+// Upstream is one incarnation of a server that owns keys.
+type Upstream struct {
+	Number          uint32 `cbor:"1,keyasint" json:"number"`
+	Name            string `cbor:"2,keyasint" json:"name"`
+	Incarnation     uint64 `cbor:"3,keyasint" json:"incarnation"`
+	Service         string `cbor:"4,keyasint" json:"service"`
+	Address         string `cbor:"5,keyasint" json:"address"`
+	DataCentre      string `cbor:"6,keyasint" json:"dataCentre"`
+	ChecksFence     bool   `cbor:"7,keyasint" json:"checksFence"`
+	ChecksRequestID bool   `cbor:"8,keyasint" json:"checksRequestId"`
+	Slots           int    `cbor:"9,keyasint" json:"slots"`
+	Connections     int    `cbor:"10,keyasint" json:"connections"`
+	Leaving         bool   `cbor:"11,keyasint" json:"leaving"`
+	GrantsVersion   uint64 `cbor:"12,keyasint" json:"grantsVersion"`
+}
+
+// EntryHost is one incarnation of a daemon that takes callers' requests.
+type EntryHost struct {
+	Name        string `cbor:"1,keyasint" json:"name"`
+	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
+	Address     string `cbor:"3,keyasint" json:"address"`
+	DataCentre  string `cbor:"4,keyasint" json:"dataCentre"`
+	JoinedAt    uint64 `cbor:"5,keyasint" json:"joinedAt"`
+}
+
+// Outcome is what became of a publish.
+type Outcome struct {
+	ID       string `cbor:"1,keyasint" json:"id"`
+	Digest   string `cbor:"2,keyasint" json:"digest"`
+	By       string `cbor:"3,keyasint" json:"by"`
+	Accepted bool   `cbor:"4,keyasint" json:"accepted"`
+	Version  uint64 `cbor:"5,keyasint" json:"version"`
+	Reason   string `cbor:"6,keyasint" json:"reason,omitempty"`
+}
+
+// Config is the set of service files in force.
+type Config struct {
+	Version uint64      `cbor:"1,keyasint" json:"version"`
+	Digest  string      `cbor:"2,keyasint" json:"digest"`
+	By      string      `cbor:"3,keyasint" json:"by"`
+	Files   []conf.File `cbor:"4,keyasint" json:"files"`
+}
+
+// Delta brings an entry host's copy from one version to another; Full tells that it replaces the copy.
+type Delta struct {
+	From      uint64         `cbor:"1,keyasint"`
+	To        uint64         `cbor:"2,keyasint"`
+	Full      bool           `cbor:"3,keyasint,omitempty"`
+	Config    *Config        `cbor:"4,keyasint,omitempty"`
+	Upstreams []Upstream     `cbor:"5,keyasint,omitempty"`
+	Entries   []EntryHost    `cbor:"6,keyasint,omitempty"`
+	Tables    []TableChanges `cbor:"7,keyasint,omitempty"`
+	Drained   []string       `cbor:"8,keyasint,omitempty"`
+	Digest    uint64         `cbor:"9,keyasint"`
+}
+
+// TableChanges are the changes of one service's slices; Whole lists all slices instead.
+type TableChanges struct {
+	Service string         `cbor:"1,keyasint"`
+	Changes []slice.Change `cbor:"2,keyasint,omitempty"`
+	Whole   []slice.Slice  `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/shared/table/view.go
@@ -0,0 +1,208 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+)
+
+// View is an entry host's copy of the table at one version; it never changes.
+type View struct {
+	version   uint64
+	digest    uint64
+	config    Config
+	services  []*conf.Service
+	upstreams map[uint32]Upstream
+	entries   []EntryHost
+	sets      map[string]slice.Set
+	drained   []string
+	homes     map[uint32]EntryHost
+}
+
+// ErrNotNewer is returned for a delta that would take the view back or does not start at its version.
+type ErrNotNewer struct {
+	Held    uint64
+	Offered uint64
+}
+
+// Error returns the message.
+func (e *ErrNotNewer) Error() string {
+	return fmt.Sprintf("version %d is held, %d was offered", e.Held, e.Offered)
+}
+
+// ErrDigest is returned when the slices after a delta are not those that control holds.
+type ErrDigest struct {
+	Version uint64
+}
+
+// Error returns the message.
+func (e *ErrDigest) Error() string {
+	return fmt.Sprintf("slices of version %d do not match their digest", e.Version)
+}
+
+// NewView returns an empty view.
+func NewView() *View { return &View{upstreams: map[uint32]Upstream{}, sets: map[string]slice.Set{}} }
+
+// Apply returns the view after the delta; the receiver stays as it is.
+func (v *View) Apply(d Delta) (next *View, err error) {
+	defer func() { err = errors.WithMessage(err, "apply delta") }()
+	if d.To < v.version || (!d.Full && d.From != v.version) {
+		return nil, &ErrNotNewer{Held: v.version, Offered: d.To}
+	}
+	next = &View{version: d.To, digest: v.digest, config: v.config, services: v.services, upstreams: v.upstreams,
+		entries: v.entries, drained: v.drained, homes: v.homes}
+	if err = next.applyConfig(d.Config); err != nil {
+		return nil, err
+	}
+	if d.Full || d.Upstreams != nil {
+		next.upstreams = make(map[uint32]Upstream, len(d.Upstreams))
+		for _, u := range d.Upstreams {
+			next.upstreams[u.Number] = u
+		}
+		next.drained = d.Drained
+	}
+	if d.Full || d.Entries != nil {
+		next.entries = d.Entries
+	}
+	if d.Full || d.Entries != nil || d.Upstreams != nil {
+		next.findHomes()
+	}
+	if err = next.applySlices(v, d); err != nil {
+		return nil, err
+	}
+	if next.digest != d.Digest {
+		return nil, &ErrDigest{Version: d.To}
+	}
+	return next, nil
+}
+
+func (v *View) applyConfig(c *Config) (err error) {
+	if c == nil {
+		return nil
+	}
+	v.config = *c
+	v.services, err = conf.ParseSet(c.Files)
+	return err
+}
+
+func (v *View) applySlices(old *View, d Delta) (err error) {
+	v.sets = make(map[string]slice.Set, len(old.sets))
+	if !d.Full {
+		for name, set := range old.sets {
+			v.sets[name] = set
+		}
+	}
+	for _, t := range d.Tables {
+		set := v.sets[t.Service]
+		if t.Whole != nil {
+			set, err = slice.FromSlices(t.Whole)
+		} else {
+			set, err = set.Apply(t.Changes)
+		}
+		if err != nil {
+			return err
+		}
+		v.sets[t.Service] = set
+	}
+	if d.Full || len(d.Tables) > 0 {
+		v.digest = 0
+		for name, set := range v.sets {
+			v.digest += ServiceDigest(name, set)
+		}
+	}
+	return nil
+}
+
+// ServiceDigest returns the checksum of one service's slices.
+func ServiceDigest(name string, set slice.Set) uint64 { return set.Digest() ^ slice.HashKey(name) }
+
+// Version returns the version of the view; zero means that nothing was received yet.
+func (v *View) Version() uint64 { return v.version }
+
+// Digest returns the checksum over all slices.
+func (v *View) Digest() uint64 { return v.digest }
+
+// Config returns the configuration in force.
+func (v *View) Config() Config { return v.config }
+
+// Services returns the services in force.
+func (v *View) Services() []*conf.Service { return v.services }
+
+// Entries returns the entry hosts.
+func (v *View) Entries() []EntryHost { return v.entries }
+
+// Upstreams returns the upstreams by number.
+func (v *View) Upstreams() map[uint32]Upstream { return v.upstreams }
+
+// Upstream returns the upstream with the number.
+func (v *View) Upstream(number uint32) (u Upstream, ok bool) {
+	u, ok = v.upstreams[number]
+	return u, ok
+}
+
+// Drained reports whether the upstream is being drained by an operator.
+func (v *View) Drained(name string) bool {
+	for _, d := range v.drained {
+		if d == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ServiceFor returns the service with the longest prefix of the path, or nil.
+func (v *View) ServiceFor(path string) (found *conf.Service) {
+	for _, s := range v.services {
+		if underPrefix(path, s.Prefix()) && (found == nil || len(s.Prefix()) > len(found.Prefix())) {
+			found = s
+		}
+	}
+	return found
+}
+
+func underPrefix(path, prefix string) bool {
+	if prefix == "/" {
+		return true
+	}
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+}
+
+// Set returns the slices of a service.
+func (v *View) Set(service string) (set slice.Set, ok bool) {
+	set, ok = v.sets[service]
+	return set, ok && set.Len() > 0
+}
+
+// Home returns the entry host that queues for the upstream.
+func (v *View) Home(number uint32) (home EntryHost, ok bool) {
+	home, ok = v.homes[number]
+	return home, ok
+}
+
+func (v *View) findHomes() {
+	v.homes = make(map[uint32]EntryHost, len(v.upstreams))
+	for number, u := range v.upstreams {
+		if home, ok := HomeOf(v.entries, u); ok {
+			v.homes[number] = home
+		}
+	}
+}
+
+// HomeOf returns the home of an upstream among the entry hosts: the one with the highest rendezvous score, hosts of the
+// upstream's own data centre first.
+func HomeOf(entries []EntryHost, u Upstream) (home EntryHost, ok bool) {
+	var best uint64
+	near := false
+	for _, e := range entries {
+		same := e.DataCentre == u.DataCentre
+		score := slice.HashKey(e.Name + "\x00" + u.Name)
+		if !ok || same && !near || same == near && score > best {
+			home, ok, near, best = e, true, same, score
+		}
+	}
+	return home, ok
+}
--- /dev/null
+++ b/internal/shared/wire/leader.go
@@ -0,0 +1,145 @@
+package wire
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+)
+
+// leaderHeader carries the address of the leader in the answer of a host that does not lead.
+const leaderHeader = "Ebonyrill-Leader"
+
+// retryPause is the pause after all control hosts were tried in vain.
+const retryPause = 40 * time.Millisecond
+
+// ErrNoLeader is returned by a host that cannot answer because it does not lead; Leader is the address it follows.
+type ErrNoLeader struct {
+	Leader string
+}
+
+// Error returns the message.
+func (e *ErrNoLeader) Error() string {
+	if e.Leader == "" {
+		return "this host does not lead and knows no leader"
+	}
+	return "this host does not lead; the leader is at " + e.Leader
+}
+
+// Code returns the code that crosses the wire.
+func (e *ErrNoLeader) Code() connect.Code { return connect.CodeUnavailable }
+
+// Hosts finds the control leader among a list of addresses and remembers it.
+type Hosts struct {
+	client    *Client
+	addresses []string
+	mutex     sync.Mutex
+	leader    string
+}
+
+// NewHosts returns a finder over the peer addresses.
+func NewHosts(client *Client, addresses []string) *Hosts {
+	return &Hosts{client: client, addresses: slices.Clone(addresses)}
+}
+
+// Client returns the client that calls are made with.
+func (h *Hosts) Client() *Client { return h.client }
+
+// Addresses returns the peer addresses that were given.
+func (h *Hosts) Addresses() []string { return slices.Clone(h.addresses) }
+
+// Leader returns the address that answered as leader last, or an empty text.
+func (h *Hosts) Leader() string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.leader
+}
+
+// Remember notes where the leader is thought to be; an empty text forgets it.
+func (h *Hosts) Remember(address string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.leader = address
+}
+
+// order returns the addresses to try: the remembered leader, then the others by chance.
+func (h *Hosts) order() (list []string) {
+	if leader := h.Leader(); leader != "" {
+		list = append(list, leader)
+	}
+	for _, i := range rand.Perm(len(h.addresses)) {
+		if !slices.Contains(list, h.addresses[i]) {
+			list = append(list, h.addresses[i])
+		}
+	}
+	return list
+}
+
+// CallLeader performs an idempotent procedure at the leader, looking for it until the context ends; each try is bounded
+// by perTry.
+func CallLeader[Req, Res any](ctx context.Context, h *Hosts, perTry time.Duration, procedure string, request *Req) (answer *Res, err error) {
+	for ctx.Err() == nil {
+		var final bool
+		if answer, final, err = callRound[Req, Res](ctx, h, perTry, procedure, request); final {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	if err == nil {
+		err = ctx.Err()
+	}
+	return nil, errors.WithMessage(err, "no control leader answered")
+}
+
+// callRound tries each address once and follows hints; final tells that the answer or the error is the leader's own.
+func callRound[Req, Res any](ctx context.Context, h *Hosts, perTry time.Duration, procedure string, request *Req) (answer *Res, final bool, err error) {
+	list := h.order()
+	limit := len(list) + 2
+	for i := 0; i < len(list) && i < limit && ctx.Err() == nil; i++ {
+		tryCtx, cancel := context.WithTimeout(ctx, perTry)
+		answer, err = Call[Req, Res](tryCtx, h.client, list[i], procedure, request)
+		cancel()
+		if err == nil {
+			h.Remember(list[i])
+			return answer, true, nil
+		}
+		if answered(err) {
+			return nil, true, err
+		}
+		if h.Leader() == list[i] {
+			h.Remember("")
+		}
+		if hint := leaderHint(err); hint != "" && !slices.Contains(list, hint) {
+			list = slices.Insert(list, i+1, hint)
+		}
+	}
+	return nil, false, err
+}
+
+// answered reports whether the error is a decision of the leader and not a sign that it could not be reached.
+func answered(err error) bool {
+	var e *connect.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Code() {
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeNotFound, connect.CodeAlreadyExists, connect.CodeAborted:
+		return true
+	}
+	return false
+}
+
+func leaderHint(err error) string {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		return e.Meta().Get(leaderHeader)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/shared/wire/transport.go
@@ -0,0 +1,96 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Times of connections; a connection whose far end is gone is found out by probes even while nothing is sent.
+const (
+	dialTimeout     = 300 * time.Millisecond
+	keepAlivePeriod = time.Second
+	keepAliveProbes = 3
+)
+
+// NewTransport returns a transport that counts what it writes, keeps idle connections for a time and never asks for
+// compression; a nil Security means plain text.
+func NewTransport(security *Security, idle time.Duration, idlePerHost int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod,
+		Interval: keepAlivePeriod, Count: keepAliveProbes}}
+	t := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c}, nil
+		},
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idle,
+	}
+	if security != nil {
+		t.TLSClientConfig = security.clientConfig()
+	}
+	return t
+}
+
+// countedConn counts the bytes written, which proves that a request was not sent when none were.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write counts before it writes, so that a write that is under way counts as well.
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// Sent knows whether any byte of a request went out on the connections that it used.
+type Sent struct {
+	mutex   sync.Mutex
+	used    []usedConn
+	unknown bool
+}
+
+// usedConn is a connection with what had been written when the request got it.
+type usedConn struct {
+	conn   *countedConn
+	before int64
+}
+
+// Trace returns the trace that the request must carry.
+func (s *Sent) Trace() *httptrace.ClientTrace { return &httptrace.ClientTrace{GotConn: s.gotConn} }
+
+func (s *Sent) gotConn(info httptrace.GotConnInfo) {
+	conn := info.Conn
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	counted, ok := conn.(*countedConn)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !ok {
+		s.unknown = true
+		return
+	}
+	s.used = append(s.used, usedConn{conn: counted, before: counted.written.Load()})
+}
+
+// Any reports whether a byte may have gone out.
+func (s *Sent) Any() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, u := range s.used {
+		if u.conn.written.Load() != u.before {
+			return true
+		}
+	}
+	return s.unknown
+}
