--- /dev/null
+++ b/cmd/ebonyrill-load/main.go
@@ -0,0 +1,134 @@
+// Command ebonyrill-load drives the demonstration: it finds free ports, sends load and checks promises.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/sample/drive"
+)
+
+// portsCommand finds a range of free ports.
+type portsCommand struct {
+	Count int `long:"count" default:"40" description:"ports in a row"`
+}
+
+// Bounds of the search for free ports.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// Execute prints the first port of a free range on loopback.
+func (c *portsCommand) Execute([]string) error {
+	for base := firstPort + os.Getpid()%97*100; base+c.Count < lastPort; base += c.Count {
+		if rangeFree(base, c.Count) {
+			fmt.Println(base)
+			return nil
+		}
+	}
+	return errors.New("no free range of ports")
+}
+
+func rangeFree(base, count int) bool {
+	for p := base; p < base+count; p++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+// runCommand sends load.
+type runCommand struct {
+	Entries  string        `long:"entries" required:"yes" description:"CALLERS/ADMIN addresses, separated by commas"`
+	Rate     int           `long:"rate" default:"400" description:"requests a second"`
+	Duration time.Duration `long:"duration" default:"15s" description:"how long"`
+	Out      string        `long:"out" required:"yes" description:"file for what callers saw"`
+}
+
+// Execute sends the load and writes what callers saw.
+func (c *runCommand) Execute([]string) (err error) {
+	o := drive.Options{Keys: 300, Rate: c.Rate, Duration: c.Duration, WriteShare: 0.25, Seed: 7,
+		Services: []drive.Service{{Prefix: "/frames", Write: "closure"}, {Prefix: "/lists", Write: "reorder"}}}
+	for _, e := range strings.Split(c.Entries, ",") {
+		callers, admin, _ := strings.Cut(e, "/")
+		o.Entries = append(o.Entries, drive.Entry{Callers: callers, Admin: admin})
+	}
+	data, err := json.Marshal(drive.Run(o))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.Out, data, 0o644)
+}
+
+// verifyCommand checks promises.
+type verifyCommand struct {
+	Result   string `long:"result" required:"yes" description:"file that run wrote"`
+	Journals string `long:"journals" required:"yes" description:"pattern of the journals"`
+	Status   string `long:"status" description:"file with the leader's status as JSON"`
+}
+
+// Execute prints the table and fails where a promise was broken.
+func (c *verifyCommand) Execute([]string) (err error) {
+	var result drive.Result
+	if err = readJSON(c.Result, &result); err != nil {
+		return err
+	}
+	var status struct {
+		MovedShare float64 `json:"movedShare"`
+	}
+	if c.Status != "" {
+		if err = readJSON(c.Status, &status); err != nil {
+			return err
+		}
+	}
+	names, err := filepath.Glob(c.Journals)
+	if err != nil {
+		return err
+	}
+	executions, err := drive.ReadJournals(names)
+	if err != nil {
+		return err
+	}
+	v := drive.Verify(result, executions)
+	v.Print(os.Stdout, status.MovedShare)
+	if v.Broken() {
+		return errors.New("a promise was broken")
+	}
+	return nil
+}
+
+func readJSON(name string, into any) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
+func main() {
+	p := flags.NewNamedParser("ebonyrill-load", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name string
+		data any
+	}{{"ports", &portsCommand{}}, {"run", &runCommand{}}, {"verify", &verifyCommand{}}} {
+		if _, err := p.AddCommand(c.name, c.name, "", c.data); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := p.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/internal/control/place/view.go
+++ b/internal/control/place/view.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"slices"
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/control/state"
@@ -70,15 +69,6 @@
 	return View{service: service, set: set, rates: rates, members: members, hot: hot, weights: weights}
 }
 
-// member returns the upstream with the number, or nil.
-func (v View) member(number uint32) *Member {
-	i := slices.IndexFunc(v.members, func(m Member) bool { return m.number == number })
-	if i < 0 {
-		return nil
-	}
-	return &v.members[i]
-}
-
 // planned returns the upstream that will own the slice once its move is done.
 func planned(e slice.Slice) uint32 {
 	if e.Moving() {
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -56,7 +56,6 @@
 	leaving  atomic.Bool
 	loadAt   time.Time
 	lost     atomic.Bool
-	applied  uint64
 }
 
 // New returns a follower.
--- /dev/null
+++ b/internal/sample/drive/drive.go
@@ -0,0 +1,152 @@
+package drive
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+)
+
+// Service is one service that load goes to.
+type Service struct {
+	Prefix string
+	Write  string
+}
+
+// Options describe a load.
+type Options struct {
+	Entries    []Entry
+	Services   []Service
+	Keys       int
+	Rate       int
+	Duration   time.Duration
+	WriteShare float64
+	Seed       uint64
+}
+
+// Sent is one request with what the caller was told.
+type Sent struct {
+	Key     string        `json:"key"`
+	ID      string        `json:"id,omitempty"`
+	Write   bool          `json:"write"`
+	At      int64         `json:"at"`
+	Took    time.Duration `json:"took"`
+	Outcome string        `json:"outcome"`
+	Reason  string        `json:"reason,omitempty"`
+	Status  int           `json:"status"`
+	Own     bool          `json:"own"`
+}
+
+// Result is what callers saw.
+type Result struct {
+	Sent []Sent `json:"sent"`
+}
+
+// driver sends one load.
+type driver struct {
+	options  Options
+	balancer *balancer
+	client   *http.Client
+	mutex    sync.Mutex
+	result   Result
+}
+
+// Outcomes that the driver adds to those of entry hosts.
+const (
+	outcomeNoAnswer = "noAnswer"
+	requestTimeout  = 6 * time.Second
+	idlePerEntry    = 256
+)
+
+// Run sends the load at a steady rate, whatever the answers, and waits for all of them.
+func Run(o Options) Result {
+	d := &driver{options: o, balancer: newBalancer(o.Entries)}
+	d.client = &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEntry}}
+	ctx, cancel := context.WithTimeout(context.Background(), o.Duration)
+	defer cancel()
+	go d.balancer.run(ctx)
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	zipf := rand.NewZipf(random, 1.1, 4, uint64(o.Keys-1))
+	var wait sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(o.Rate))
+	defer ticker.Stop()
+	for n := 0; ctx.Err() == nil; n++ {
+		<-ticker.C
+		service := o.Services[random.IntN(len(o.Services))]
+		key := fmt.Sprintf("k%d", zipf.Uint64())
+		write := random.Float64() < o.WriteShare
+		wait.Go(func() { d.one(n, service, key, write) })
+	}
+	wait.Wait()
+	return d.result
+}
+
+// one sends one request; a connection that could not be made is tried at another entry host.
+func (d *driver) one(n int, service Service, key string, write bool) {
+	s := Sent{Key: service.Prefix + "/" + key, Write: write, At: time.Now().UnixNano()}
+	if write {
+		s.ID = fmt.Sprintf("r%d-%d", d.options.Seed, n)
+	}
+	started := time.Now()
+	for range d.options.Entries {
+		i, callers := d.balancer.pick()
+		sent, err := d.try(&s, callers, service, write, n)
+		if err == nil || sent {
+			break
+		}
+		d.balancer.set(i, false)
+	}
+	s.Took = time.Since(started)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.result.Sent = append(d.result.Sent, s)
+}
+
+func (d *driver) try(s *Sent, callers string, service Service, write bool, n int) (sent bool, err error) {
+	echo := fmt.Sprintf("body-%d", n)
+	method, path, body := http.MethodGet, s.Key, io.Reader(nil)
+	if write {
+		method, path, body = http.MethodPost, s.Key+"/"+service.Write, bytes.NewReader([]byte(echo))
+	}
+	r, err := http.NewRequest(method, "http://"+callers+path, body)
+	if err != nil {
+		return false, err
+	}
+	r.Header.Set("X-Caller", fmt.Sprintf("caller%d", n%20))
+	if write {
+		r.Header.Set(relay.HeaderRequestID, s.ID)
+		r.Header.Set(relay.HeaderAttempt, "1")
+	}
+	s.Outcome = outcomeNoAnswer
+	response, err := d.client.Do(r)
+	if err != nil {
+		return !strings.Contains(err.Error(), "connection refused"), err
+	}
+	defer func() { _ = response.Body.Close() }()
+	s.Status, s.Outcome, s.Reason = response.StatusCode, response.Header.Get(relay.HeaderOutcome), response.Header.Get(relay.HeaderReason)
+	s.Own = d.own(response, s.Key, echo, write)
+	return true, nil
+}
+
+// own reports whether the answer is whole and belongs to the request.
+func (d *driver) own(response *http.Response, key, echo string, write bool) bool {
+	if response.StatusCode != http.StatusOK {
+		return true
+	}
+	var answer struct {
+		Key  string `json:"key"`
+		Echo string `json:"echo"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return false
+	}
+	return strings.HasSuffix(key, "/"+answer.Key) && (!write || answer.Echo == echo)
+}
--- a/internal/sample/owner/owner.go
+++ b/internal/sample/owner/owner.go
@@ -171,20 +171,22 @@
 	}
 	u.busy.Add(1)
 	defer u.busy.Add(-1)
-	end := func() {}
-	if u.options.ChecksFence {
-		var ok bool
-		if end, ok = u.grants.Begin(hash, fence, time.Now()); !ok {
-			refuse(w, relay.ReasonFence)
-			return
-		}
-	} else {
-		end = u.grants.BeginUnchecked(hash, fence)
+	end, ok := u.begin(hash, fence)
+	if !ok {
+		refuse(w, relay.ReasonFence)
+		return
 	}
 	defer end()
 	u.work(w, r, fence, body)
 }
 
+func (u *Owner) begin(hash, fence uint64) (end func(), ok bool) {
+	if u.options.ChecksFence {
+		return u.grants.Begin(hash, fence, time.Now())
+	}
+	return u.grants.BeginUnchecked(hash, fence), true
+}
+
 // work does what a request asks for and notes it in the journal.
 func (u *Owner) work(w http.ResponseWriter, r *http.Request, fence uint64, body []byte) {
 	started := time.Now()
