group: entry hosts get a lease only on a table as new as their join; answers go to where messages came from

Cause: an entry host that joined late held a table from before the move and got a lease with it; the finished handover had waited only for hosts that had joined. A lease is now given only once the host's table is as new as its join.

Messages now carry the sender's address.

--- a/internal/control/agree/types.go
+++ b/internal/control/agree/types.go
@@ -53,7 +53,8 @@
 	MessageTimeoutNow
 )
 
-// Message travels between two replicas; which fields count depends on its kind.
+// Message travels between two replicas; which fields count depends on its kind. Address is where the sender takes
+// answers, as a replica that is far behind may not have the sender in its configuration yet.
 type Message struct {
 	Kind      MessageKind   `cbor:"1,keyasint"`
 	From      ReplicaID     `cbor:"2,keyasint"`
@@ -67,6 +68,7 @@
 	SentAt    time.Duration `cbor:"10,keyasint,omitempty"`
 	Entries   []Entry       `cbor:"11,keyasint,omitempty"`
 	Snapshot  *Snapshot     `cbor:"12,keyasint,omitempty"`
+	Address   string        `cbor:"13,keyasint,omitempty"`
 }
 
 // Effects is what the driver must do after a step: persist, then send, then apply.
--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -1,6 +1,9 @@
 package grant
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/control/state"
@@ -13,6 +16,9 @@
 	driftDenominator = 20
 )
 
+// MaxSkew bounds how far wall clocks of hosts differ; deadlines cross hosts by wall clock.
+const MaxSkew = 50 * time.Millisecond
+
 // Terms are the times that grants are kept by.
 type Terms struct {
 	lease   time.Duration
@@ -43,6 +49,7 @@
 // entryLease is what the leader knows of one entry host.
 type entryLease struct {
 	incarnation uint64
+	joinedAt    uint64
 	renewedAt   time.Duration
 	applied     uint64
 	oldest      uint64
@@ -78,7 +85,7 @@
 // of an entry host dropped before may still be on its way.
 func NewKeeper(terms Terms, now time.Duration, s *state.State) *Keeper {
 	k := &Keeper{terms: terms, startedAt: now, upstreams: map[uint32]*upstreamLease{}, entries: map[string]*entryLease{},
-		handovers: map[sliceName]*handover{}, ghostsGone: now + terms.surelyOver() + terms.maxHold}
+		handovers: map[sliceName]*handover{}, ghostsGone: now + terms.surelyOver() + terms.maxHold + MaxSkew}
 	k.Follow(now, s)
 	return k
 }
@@ -105,7 +112,7 @@
 			if l != nil {
 				k.noteGhost(l)
 			}
-			k.entries[e.Name] = &entryLease{incarnation: e.Incarnation, renewedAt: now}
+			k.entries[e.Name] = &entryLease{incarnation: e.Incarnation, joinedAt: e.JoinedAt, renewedAt: now}
 		}
 	}
 	for name, l := range k.entries {
@@ -118,7 +125,7 @@
 
 // noteGhost keeps moves away from unchecking upstreams waiting until requests of a dropped entry host have ended.
 func (k *Keeper) noteGhost(l *entryLease) {
-	k.ghostsGone = max(k.ghostsGone, l.renewedAt+k.terms.surelyOver()+k.terms.maxHold)
+	k.ghostsGone = max(k.ghostsGone, l.renewedAt+k.terms.surelyOver()+k.terms.maxHold+MaxSkew)
 }
 
 func (k *Keeper) followHandovers(now time.Duration, s *state.State) {
@@ -146,8 +153,9 @@
 	}
 }
 
-// RenewEntry renews the lease of an entry host; an incarnation that is not in the state, or whose end is already
-// proposed, gets none.
+// RenewEntry renews the lease of an entry host. An incarnation that is not in the state, or whose end is already
+// proposed, gets none; nor does one whose table is older than its own join, as a handover that was finished before it
+// joined did not wait for it.
 func (k *Keeper) RenewEntry(now time.Duration, r table.Renewal) (joined bool) {
 	l := k.entries[r.Host.Name]
 	if l == nil || l.incarnation != r.Host.Incarnation || l.condemned {
@@ -155,7 +163,7 @@
 	}
 	l.renewedAt = now
 	l.applied, l.oldest = max(l.applied, r.Applied), max(l.oldest, r.Oldest)
-	return true
+	return r.Applied >= l.joinedAt
 }
 
 // RenewUpstream renews an upstream's lease and returns its grants where they are not those it holds.
@@ -241,7 +249,8 @@
 // Due returns the commands that the passing of time allows: entry hosts and upstreams whose leases are surely over,
 // and slices whose handover is complete. What is returned counts as proposed.
 func (k *Keeper) Due(now time.Duration, s *state.State) (commands []state.Command) {
-	for name, l := range k.entries {
+	for _, name := range slices.Sorted(maps.Keys(k.entries)) {
+		l := k.entries[name]
 		if !l.condemned && now-l.renewedAt >= k.terms.surelyOver() {
 			l.condemned = true
 			commands = append(commands, state.Command{DropEntry: &state.DropEntry{Name: name, Incarnation: l.incarnation}})
@@ -307,6 +316,9 @@
 		operations = append(operations, state.Operation{Kind: state.Finish, Service: name.service, Start: e.Start,
 			Fence: e.Fence, To: e.Next})
 	}
+	slices.SortFunc(operations, func(a, b state.Operation) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Start, b.Start))
+	})
 	return operations
 }
 
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -39,18 +39,40 @@
 	Log        *events.Log
 }
 
+// disk is what a control host keeps across restarts.
+type disk interface {
+	ID() agree.ReplicaID
+	Joined() bool
+	Hard() agree.HardState
+	Snapshot() agree.Snapshot
+	Tail() []agree.Entry
+	LogBytes() int64
+	Bootstrap(agree.Members) error
+	Join() error
+	Save(*agree.HardState, []agree.Entry) error
+	SaveSnapshot(agree.Snapshot) error
+	Close() error
+}
+
+// sender brings messages to the other control hosts, or drops them.
+type sender interface {
+	send(agree.Members, []agree.Message)
+	stop()
+}
+
 // Group is one control host; its state belongs to the goroutine of Run.
 type Group struct {
 	options  Options
-	store    *store.Store
+	store    disk
 	core     *agree.Core
 	state    *state.State
 	lead     *lead
-	peers    *peers
-	start    time.Time
+	peers    sender
+	clock    func() time.Duration
 	nextDuty time.Duration
 	inbox    chan agree.Message
 	requests chan func()
+	contacts map[agree.ReplicaID]string
 	waiters  map[uint64]waiter
 	watchers map[chan struct{}]bool
 	seen     uint64
@@ -74,14 +96,20 @@
 // Open opens the data folder and restores what it holds.
 func Open(o Options) (g *Group, err error) {
 	defer func() { err = errors.WithMessage(err, "open control host") }()
-	g = &Group{options: o, start: time.Now(), inbox: make(chan agree.Message, inboxLength),
-		requests: make(chan func(), requestsLength), waiters: map[uint64]waiter{}, watchers: map[chan struct{}]bool{},
-		stop: make(chan struct{}), done: make(chan struct{}), state: state.New()}
-	g.peers = newPeers(o.Client)
 	newID := func() agree.ReplicaID { return agree.ReplicaID(rand.Uint64() | 1) }
-	if g.store, err = store.Open(o.Folder, newID); err != nil {
+	d, err := store.Open(o.Folder, newID)
+	if err != nil {
 		return nil, err
 	}
+	start := time.Now()
+	return assemble(o, d, newPeers(o.Client), func() time.Duration { return time.Since(start) + time.Millisecond })
+}
+
+// assemble puts a control host together from its disk, its way to the others and its clock.
+func assemble(o Options, d disk, p sender, clock func() time.Duration) (g *Group, err error) {
+	g = &Group{options: o, store: d, peers: p, clock: clock, inbox: make(chan agree.Message, inboxLength),
+		requests: make(chan func(), requestsLength), contacts: map[agree.ReplicaID]string{}, waiters: map[uint64]waiter{}, watchers: map[chan struct{}]bool{},
+		stop: make(chan struct{}), done: make(chan struct{}), state: state.New()}
 	if g.store.Joined() {
 		return g, g.restore()
 	}
@@ -94,7 +122,7 @@
 	if g.state, err = state.Decode(s.Data); err != nil {
 		return err
 	}
-	random := rand.New(rand.NewPCG(uint64(g.store.ID()), uint64(time.Now().UnixNano())))
+	random := rand.New(rand.NewPCG(uint64(g.store.ID()), g.store.Hard().Term))
 	g.core = agree.New(g.store.ID(), g.options.Timing, random, g.now(), g.store.Hard(), s, g.store.Tail())
 	g.options.Log.Write(events.GroupJoined, zap.Uint64("replica", uint64(g.store.ID())))
 	return nil
@@ -139,7 +167,7 @@
 }
 
 // now is the host's monotonic time.
-func (g *Group) now() time.Duration { return time.Since(g.start) + time.Millisecond }
+func (g *Group) now() time.Duration { return g.clock() }
 
 // do runs a function in the loop and waits for it.
 func (g *Group) do(ctx context.Context, f func()) (err error) {
@@ -171,10 +199,29 @@
 			return err
 		}
 	}
+	if m.To == g.store.ID() && m.Address != "" {
+		g.contacts[m.From] = m.Address
+	}
 	g.core.Step(g.now(), m)
 	return nil
 }
 
+// post sends messages to where their receivers are, by the newest configuration or else by their own word.
+func (g *Group) post(messages []agree.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	members := g.core.Members()
+	for i := range messages {
+		messages[i].Address = g.options.Address
+		to := messages[i].To
+		if _, ok := members.Find(to); !ok && g.contacts[to] != "" {
+			members = members.With(agree.Replica{ID: to, Address: g.contacts[to]})
+		}
+	}
+	g.peers.send(members, messages)
+}
+
 func (g *Group) tick() (err error) {
 	if g.core == nil {
 		return nil
@@ -206,7 +253,7 @@
 	if err = g.store.Save(out.Hard, out.Append); err != nil {
 		return err
 	}
-	g.peers.send(g.core.Members(), out.Messages)
+	g.post(out.Messages)
 	for _, e := range out.Committed {
 		if err = g.apply(e); err != nil {
 			return err
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -107,7 +107,7 @@
 	l.follow(now, g.state)
 	answer = &table.RenewalAnswer{Version: g.state.Version(), LeaseMillis: g.options.Terms.Lease().Milliseconds()}
 	answer.Joined = !r.Leaving && l.keeper.RenewEntry(now, *r)
-	g.followEntry(r, answer.Joined)
+	g.followEntry(r)
 	for _, a := range r.Announcements {
 		answer.Grants = append(answer.Grants, g.renewUpstream(now, l, a))
 	}
@@ -119,13 +119,13 @@
 }
 
 // followEntry proposes the join or the leave of an entry host.
-func (g *Group) followEntry(r *table.Renewal, joined bool) {
+func (g *Group) followEntry(r *table.Renewal) {
 	known, in := g.state.Entry(r.Host.Name)
 	current := in && known.Incarnation == r.Host.Incarnation
 	switch {
 	case r.Leaving && current:
 		g.proposeDuty(state.Command{DropEntry: &state.DropEntry{Name: r.Host.Name, Incarnation: r.Host.Incarnation}})
-	case !r.Leaving && !joined && !current && g.lead.joining[entryKey(r.Host.Name)] != r.Host.Incarnation:
+	case !r.Leaving && !current && g.lead.joining[entryKey(r.Host.Name)] != r.Host.Incarnation:
 		if !conf.IsWord(r.Host.Name) || !conf.IsWord(r.Host.DataCentre) {
 			return
 		}
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -127,11 +127,14 @@
 	return next, false
 }
 
+// maxSkew bounds how far wall clocks of hosts differ.
+const maxSkew = 50 * time.Millisecond
+
 // arrive ends the tracking of a request; one that may still lie in the socket of an upstream that does not check fences
 // counts until its deadline.
 func (h *Handler) arrive(target route.Target, p *reply, deadline time.Time) {
 	if p.outcome == Unknown && !target.Upstream().ChecksFence {
-		time.AfterFunc(time.Until(deadline), func() { h.table.Arrive(target.Version()) })
+		time.AfterFunc(time.Until(deadline)+maxSkew, func() { h.table.Arrive(target.Version()) })
 		return
 	}
 	h.table.Arrive(target.Version())
