relay: promises of the entry path proved against a scripted upstream

Resets, silence, truncation, crossed, doubled and late answers, replays by the transport, moves and resends in mid-request. Found by the tests: a broken connection was reported as a timeout, since the request's context was ended before its error was read; the idle connections were closed for nothing with it. Before: reason timeout; after: broken.

--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -151,7 +151,7 @@
 	request := h.upstreamRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, deadline, attempt)
 	response, err := u.pools.of(c.handling.Idempotent).RoundTrip(request)
 	if err != nil {
-		cancel()
+		defer cancel()
 		h.options.Observer.Seen(target.Upstream().Number, true)
 		return h.failed(ctx, u, sent)
 	}
--- /dev/null
+++ b/internal/entry/relay/whole_test.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+func TestIdempotentIsAskedAgain(t *testing.T) {
+	first := func(bad script) script {
+		var once sync.Once
+		return func(conn net.Conn, r *http.Request) {
+			spoilt := false
+			once.Do(func() { spoilt = true })
+			if spoilt {
+				bad(conn, r)
+				return
+			}
+			answer(conn, r, "mine")
+		}
+	}
+	cases := []struct {
+		name string
+		bad  script
+	}{
+		{"reset", hangUp},
+		{"silent connection", silence},
+		{"truncated", func(conn net.Conn, r *http.Request) {
+			writeRaw(conn, r.Header.Get(HeaderAttemptID), 100, "short")
+			_ = conn.Close()
+		}},
+		{"crossed", func(conn net.Conn, r *http.Request) { writeRaw(conn, "other", 6, "theirs") }},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			f, u := withUpstream(t, first(v.bad))
+			g := f.do("GET", "/frames/k")
+			assertOutcome(f.c, g, Done, u, 2)
+			f.c.Assert(g.body, qt.Equals, "mine")
+		})
+	}
+}
+
+func TestLateAndDoubledAnswersReachNobody(t *testing.T) {
+	f, u := withUpstream(t, func(conn net.Conn, r *http.Request) {
+		answer(conn, r, "ok "+r.URL.Path)
+		answer(conn, r, "again "+r.URL.Path)
+	})
+	for i := range 20 {
+		path := fmt.Sprintf("/frames/k%d", i)
+		g := f.do("GET", path)
+		f.c.Assert(g.body, qt.Equals, "ok "+path)
+	}
+	u.set(func(conn net.Conn, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "late") {
+			time.Sleep(150 * time.Millisecond)
+		}
+		answer(conn, r, r.URL.Path)
+	})
+	g := f.do("POST", "/frames/late", HeaderTimeout, "50")
+	f.c.Assert(g.outcome, qt.Equals, Unknown)
+	for i := range 10 {
+		path := fmt.Sprintf("/frames/p%d", i)
+		f.c.Assert(f.do("POST", path).body, qt.Equals, path)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestLongAnswerCutShortBreaksTheConnection(t *testing.T) {
+	long := strings.Repeat("x", bufferedBytes+1000)
+	f, _ := withUpstream(t, func(conn net.Conn, r *http.Request) {
+		writeRaw(conn, r.Header.Get(HeaderAttemptID), len(long)+500, long)
+		_ = conn.Close()
+	})
+	g := f.do("GET", "/frames/k")
+	f.c.Assert(g.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
+func TestLongAnswerComesWhole(t *testing.T) {
+	long := strings.Repeat("y", 3*bufferedBytes+17)
+	f, u := withUpstream(t, func(conn net.Conn, r *http.Request) { answer(conn, r, long) })
+	for range 5 {
+		g := f.do("GET", "/frames/k")
+		f.c.Assert(g.err, qt.IsNil)
+		f.c.Assert(g.body == long, qt.IsTrue)
+	}
+	f.c.Assert(u.runs.Load(), qt.Equals, int64(5))
+	busy, waiting := f.handler.Load()
+	f.c.Assert([]int{busy, waiting}, qt.DeepEquals, []int{0, 0})
+}
+
+func TestBadRequestsChangeNothing(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		headers []string
+		body    int
+		status  int
+		reason  Reason
+	}{
+		{"no key", "/frames", nil, 1, http.StatusBadRequest, ReasonNoKey},
+		{"no service", "/other/k", nil, 1, http.StatusNotFound, ReasonNoService},
+		{"long id", "/frames/k/closure", []string{HeaderRequestID, strings.Repeat("i", 129)}, 1, http.StatusBadRequest, ReasonBadRequest},
+		{"bad attempt", "/frames/k/closure", []string{HeaderAttempt, "first"}, 1, http.StatusBadRequest, ReasonBadRequest},
+		{"bad timeout", "/frames/k/closure", []string{HeaderTimeout, "-5"}, 1, http.StatusBadRequest, ReasonBadRequest},
+		{"large body", "/frames/k/closure", nil, 2 << 20, http.StatusRequestEntityTooLarge, ReasonTooLarge},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			f, u := withUpstream(t, hangUp)
+			r, err := http.NewRequest("POST", f.server.URL+v.path, strings.NewReader(strings.Repeat("b", v.body)))
+			f.c.Assert(err, qt.IsNil)
+			for i := 0; i+1 < len(v.headers); i += 2 {
+				r.Header.Set(v.headers[i], v.headers[i+1])
+			}
+			response, err := f.server.Client().Do(r)
+			f.c.Assert(err, qt.IsNil)
+			_ = response.Body.Close()
+			f.c.Assert(response.StatusCode, qt.Equals, v.status)
+			f.c.Assert(Reason(response.Header.Get(HeaderReason)), qt.Equals, v.reason)
+			f.c.Assert(Outcome(response.Header.Get(HeaderOutcome)), qt.Equals, NotRun)
+			f.c.Assert(u.runs.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+func TestCallersCannotSetFences(t *testing.T) {
+	f, _ := withUpstream(t, func(conn net.Conn, r *http.Request) { answer(conn, r, r.Header.Get(HeaderFence)) })
+	g := f.do("POST", "/frames/k/closure", HeaderFence, "999", HeaderKeyHash, "1", headerHop, "1")
+	f.c.Assert(g.body, qt.Equals, "7")
+}
+
+// TestHop sends requests through a second entry host.
+func TestHop(t *testing.T) {
+	pair := func(t *testing.T, s script) (far, home *fixture, u *scripted) {
+		u = mustScripted(qt.New(t), s)
+		info := upstreamAt(1, u.address())
+		far, home = mustFixture(t, "far", info), mustFixture(t, "home", info)
+		hops := httptest.NewServer(http.HandlerFunc(home.handler.ServeHop))
+		home.c.Cleanup(hops.Close)
+		entries := []table.EntryHost{{Name: "home", Address: hops.Listener.Addr().String(), DataCentre: "dc"}}
+		far.delta.Entries, home.delta.Entries = entries, entries
+		far.own(1, 7, 11)
+		home.own(1, 7, 11)
+		return far, home, u
+	}
+	t.Run("whole answer", func(t *testing.T) {
+		far, _, u := pair(t, func(conn net.Conn, r *http.Request) { answer(conn, r, r.URL.Path) })
+		g := far.do("GET", "/frames/k7")
+		assertOutcome(far.c, g, Done, u, 1)
+		far.c.Assert(g.body, qt.Equals, "/frames/k7")
+	})
+	t.Run("same id through both hosts at once", func(t *testing.T) {
+		far, home, u := pair(t, func(conn net.Conn, r *http.Request) {
+			time.Sleep(40 * time.Millisecond)
+			answer(conn, r, "closed")
+		})
+		var wait sync.WaitGroup
+		answers := make([]got, 6)
+		for i := range answers {
+			f := []*fixture{far, home}[i%2]
+			wait.Go(func() { answers[i] = f.do("POST", "/frames/k/closure", HeaderRequestID, "id1", HeaderAttempt, "1") })
+		}
+		wait.Wait()
+		for _, g := range answers {
+			assertOutcome(far.c, g, Done, u, 1)
+		}
+	})
+	t.Run("unknown stays unknown", func(t *testing.T) {
+		far, _, u := pair(t, hangUp)
+		assertOutcome(far.c, far.do("POST", "/frames/k/closure"), Unknown, u, 1)
+	})
+	t.Run("home dies with a request in flight", func(t *testing.T) {
+		far, _, u := pair(t, hangUp)
+		dying := mustScripted(far.c, hangUp)
+		far.delta.Entries = []table.EntryHost{{Name: "home", Address: dying.address(), DataCentre: "dc"}}
+		far.own(1, 7, 12)
+		assertOutcome(far.c, far.do("POST", "/frames/k/closure"), Unknown, u, 0)
+		far.c.Assert(dying.runs.Load(), qt.Equals, int64(1))
+	})
+	t.Run("home is gone", func(t *testing.T) {
+		far, _, u := pair(t, hangUp)
+		gone := mustScripted(far.c, hangUp)
+		_ = gone.listener.Close()
+		far.delta.Entries = []table.EntryHost{{Name: "home", Address: gone.address(), DataCentre: "dc"}}
+		far.own(1, 7, 12)
+		assertOutcome(far.c, far.do("POST", "/frames/k/closure", HeaderTimeout, "100"), NotRun, u, 0)
+	})
+	t.Run("home with an older table waits for the newer one", func(t *testing.T) {
+		far, home, u := pair(t, func(conn net.Conn, r *http.Request) { answer(conn, r, r.Header.Get(HeaderFence)) })
+		far.own(1, 30, 15)
+		go func() {
+			time.Sleep(30 * time.Millisecond)
+			home.own(1, 30, 15)
+		}()
+		g := far.do("POST", "/frames/k/closure")
+		assertOutcome(far.c, g, Done, u, 1)
+		far.c.Assert(g.body, qt.Equals, "30")
+	})
+}
+
+func TestRetriesStayInBudget(t *testing.T) {
+	f, u := withUpstream(t, hangUp)
+	const requests = 200
+	for range requests {
+		f.do("GET", "/frames/k")
+	}
+	f.c.Assert(u.runs.Load() <= requests*11/10+5, qt.IsTrue, qt.Commentf("%d runs for %d requests", u.runs.Load(), requests))
+}
