--- /dev/null
+++ b/internal/control/state/state_test.go
@@ -0,0 +1,244 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// bench is a state with the index that the next command gets.
+type bench struct {
+	state *State
+	index uint64
+}
+
+func newBench() *bench { return &bench{state: New()} }
+
+func (b *bench) mustApply(t rapid.TB, c Command) Result {
+	t.Helper()
+	b.index++
+	data, err := EncodeCommand(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := b.state.Apply(b.index, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func file(name string, slices int) conf.File {
+	return conf.File{Name: name, Text: fmt.Sprintf("[service]\nname = %s\nprefix = /%s\nkey = path:2\nslices = %d\n", name, name, slices)}
+}
+
+func (b *bench) publish(t rapid.TB, id string, base uint64, files ...conf.File) Result {
+	t.Helper()
+	return b.mustApply(t, Command{Publish: &Publish{ID: id, Base: base, By: "test", Digest: Digest(files), Files: files}})
+}
+
+func join(name string, incarnation uint64) Command {
+	return Command{JoinUpstream: &table.Upstream{Name: name, Incarnation: incarnation, Service: "s", Address: "127.0.0.1:1", DataCentre: "dc", Slots: 3, ChecksFence: true}}
+}
+
+// sampled are the hashes at which owners and fences are watched.
+var sampled = func() (hashes []uint64) {
+	for i := range uint64(64) {
+		hashes = append(hashes, i<<58|i*0x9e3779b97f4a7c15>>6)
+	}
+	return append(hashes, 0, ^uint64(0))
+}()
+
+// naive is the differential partner: a map of owner and fence by hash.
+type naive map[uint64]table.Grant
+
+// TestFencesOnlyGrow holds the state against a map by key under random plans, losses and publishes: an owner changes
+// only with a larger fence, one fence never has two owners, and a copy by deltas is the state itself.
+func TestFencesOnlyGrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench()
+		b.publish(t, "20260102T150405.000Z-0000", 0, file("s", 8))
+		seen := map[uint64]naive{}
+		view := table.NewView()
+		for i := range 60 {
+			b.mustApply(t, b.draw(t, uint64(i)))
+			b.checkFences(t, seen)
+			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
+				view = b.mustFollow(t, view)
+			}
+		}
+		view = b.mustFollow(t, view)
+		data, err := b.state.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored, err := Decode(data)
+		if err != nil || restored.Digest() != b.state.Digest() || view.Digest() != b.state.Digest() {
+			t.Fatalf("copies differ: %v", err)
+		}
+	})
+}
+
+// draw returns a random command, often one that does not fit.
+func (b *bench) draw(t *rapid.T, n uint64) Command {
+	number := func() uint32 { return uint32(rapid.IntRange(0, int(b.state.nextNumber)).Draw(t, "number")) }
+	set, _ := b.state.Table("s")
+	e := set.At(rapid.IntRange(0, set.Len()-1).Draw(t, "slice"))
+	o := Operation{Service: "s", Start: e.Start, Fence: e.Fence, To: number()}
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0, 1:
+		return join(fmt.Sprintf("u%d", rapid.IntRange(0, 3).Draw(t, "name")), n+1)
+	case 2:
+		return Command{DropUpstream: &DropUpstream{Number: number()}}
+	case 3, 4:
+		o.Kind = Assign
+	case 5:
+		o.Kind = Begin
+	case 6:
+		o.Kind, o.To = Finish, e.Next
+	case 7:
+		o.Kind, o.At = Split, rapid.Uint64().Draw(t, "at")
+	case 8:
+		o.Kind = Merge
+	case 9:
+		files := []conf.File{file("s", 8)}
+		if rapid.Bool().Draw(t, "withdraw") {
+			files = []conf.File{file("other", 2)}
+		}
+		return Command{Publish: &Publish{ID: fmt.Sprintf("20260102T150405.000Z-%04d", n+1), Base: b.state.Config().Version, Digest: Digest(files), Files: files}}
+	}
+	return Command{Plan: &Plan{Operations: []Operation{o}}}
+}
+
+func (b *bench) checkFences(t *rapid.T, seen map[uint64]naive) {
+	set, _ := b.state.Table("s")
+	for _, hash := range sampled {
+		e := set.Find(hash)
+		if seen[hash] == nil {
+			seen[hash] = naive{}
+		}
+		owner := uint64(e.Owner)
+		for fence, was := range seen[hash] {
+			if fence > e.Fence {
+				t.Fatalf("hash %x: fence went from %d back to %d", hash, fence, e.Fence)
+			}
+			if fence == e.Fence && was.From != owner {
+				t.Fatalf("hash %x: fence %d belongs to %d and %d", hash, fence, was.From, owner)
+			}
+		}
+		seen[hash][e.Fence] = table.Grant{From: owner, Fence: e.Fence}
+	}
+}
+
+func (b *bench) mustFollow(t *rapid.T, v *table.View) *table.View {
+	next, err := v.Apply(b.state.DeltaSince(v.Version(), v.Digest()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next.Digest() != b.state.Digest() || next.Config().Version != b.state.Config().Version || len(next.Upstreams()) != len(b.state.Upstreams()) {
+		t.Fatal("the copy is not the state")
+	}
+	return next
+}
+
+func TestPublishOutcomes(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	first := b.publish(t, "20260102T150405.000Z-aaaa", 0, file("s", 4))
+	c.Assert(first.Outcome.Accepted, qt.IsTrue)
+	c.Run("race from the same base", func(c *qt.C) {
+		second := b.publish(t, "20260102T150405.001Z-bbbb", 0, file("s", 4), file("x", 1))
+		c.Assert(second.Outcome.Accepted, qt.IsFalse)
+		c.Assert(second.Outcome.Version, qt.Equals, first.Outcome.Version)
+		c.Assert(second.Outcome.Reason, qt.Contains, "by test")
+	})
+	c.Run("resend after later versions and a snapshot", func(c *qt.C) {
+		b.publish(t, "20260102T150405.002Z-cccc", first.Outcome.Version, file("s", 4), file("y", 1))
+		data, err := b.state.Encode()
+		c.Assert(err, qt.IsNil)
+		restored, err := Decode(data)
+		c.Assert(err, qt.IsNil)
+		b.state = restored
+		again := b.publish(t, "20260102T150405.000Z-aaaa", 0, file("s", 4))
+		c.Assert(again.Outcome, qt.DeepEquals, first.Outcome)
+	})
+	c.Run("same id with other content", func(c *qt.C) {
+		before := b.state.Config()
+		other := b.publish(t, "20260102T150405.000Z-aaaa", before.Version, file("z", 4))
+		c.Assert(other.Outcome, qt.IsNil)
+		c.Assert(other.Refused, qt.Contains, "other content")
+		c.Assert(b.state.Config(), qt.DeepEquals, before)
+	})
+	c.Run("id so old that its outcome is gone", func(c *qt.C) {
+		for i := range maxOutcomes + 5 {
+			b.publish(t, fmt.Sprintf("20260103T150405.000Z-%05d", i), 0, file("s", 4))
+		}
+		version := b.state.Config().Version
+		gone := b.publish(t, "20260102T150405.000Z-aaaa", version, file("s", 4))
+		c.Assert(gone.Outcome, qt.IsNil)
+		c.Assert(gone.Refused, qt.Contains, "no longer kept")
+		c.Assert(b.state.Config().Version, qt.Equals, version)
+	})
+}
+
+func TestIncarnations(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	b.publish(t, "20260102T150405.000Z-aaaa", 0, file("s", 1))
+	old := b.mustApply(t, join("u", 5)).Number
+	b.mustApply(t, Command{Plan: &Plan{Operations: []Operation{{Kind: Assign, Service: "s", Fence: 1, To: old}}}})
+	c.Run("a restart does not inherit slices", func(c *qt.C) {
+		next := b.mustApply(t, join("u", 6)).Number
+		c.Assert(next, qt.Not(qt.Equals), old)
+		set, _ := b.state.Table("s")
+		c.Assert(set.At(0).Owner, qt.Equals, old)
+	})
+	c.Run("an old announcement does not come back", func(c *qt.C) {
+		b.mustApply(t, Command{DropUpstream: &DropUpstream{Number: old}})
+		c.Assert(b.mustApply(t, join("u", 5)).Refused, qt.Not(qt.Equals), "")
+	})
+}
+
+func TestStaleOperationsArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	b.publish(t, "20260102T150405.000Z-aaaa", 0, file("s", 1))
+	one, two := b.mustApply(t, join("a", 1)).Number, b.mustApply(t, join("b", 1)).Number
+	assign := func(to uint32, fence uint64) Command {
+		return Command{Plan: &Plan{Operations: []Operation{{Kind: Assign, Service: "s", Fence: fence, To: to}}}}
+	}
+	b.mustApply(t, assign(one, 1))
+	b.mustApply(t, assign(two, 1))
+	set, _ := b.state.Table("s")
+	c.Assert(set.At(0).Owner, qt.Equals, one)
+	finish := Command{Plan: &Plan{Operations: []Operation{{Kind: Finish, Service: "s", Fence: set.At(0).Fence, To: two}}}}
+	b.mustApply(t, finish)
+	set, _ = b.state.Table("s")
+	c.Assert(set.At(0).Owner, qt.Equals, one)
+}
+
+func TestWithdrawnServiceKeepsItsOwners(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	b.publish(t, "20260102T150405.000Z-aaaa", 0, file("s", 1))
+	u := b.mustApply(t, join("a", 1)).Number
+	b.mustApply(t, Command{Plan: &Plan{Operations: []Operation{{Kind: Assign, Service: "s", Fence: 1, To: u}}}})
+	b.publish(t, "20260102T150405.001Z-aaaa", 1, file("t", 1))
+	b.publish(t, "20260102T150405.002Z-aaaa", b.state.Config().Version, file("s", 1))
+	set, _ := b.state.Table("s")
+	c.Assert(set.At(0).Owner, qt.Equals, u)
+}
+
+func FuzzDecodeCommand(f *testing.F) {
+	data, _ := EncodeCommand(join("u", 1))
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := New()
+		_, _ = s.Apply(1, data)
+	})
+}
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -48,21 +48,22 @@
 	if err = s.acquireLock(); err != nil {
 		return nil, err
 	}
-	defer func() {
-		if err != nil {
-			_ = s.Close()
-		}
-	}()
-	if err = s.loadIdentity(newID); err != nil {
+	if err = s.load(newID); err != nil {
+		_ = s.Close()
 		return nil, err
 	}
-	if !s.identity.Joined {
-		return s, nil
+	return s, nil
+}
+
+// load reads the identity and, in a folder that has joined, snapshot and log.
+func (s *Store) load(newID func() agree.ReplicaID) (err error) {
+	if err = s.loadIdentity(newID); err != nil || !s.identity.Joined {
+		return err
 	}
 	if err = s.loadSnapshot(); err != nil {
-		return nil, err
+		return err
 	}
-	return s, s.loadLog()
+	return s.loadLog()
 }
 
 // Bootstrap makes the folder part of a group that starts from the members; it is refused once the folder has joined.
