--- a/internal/control/agree/core.go
+++ b/internal/control/agree/core.go
@@ -204,6 +204,9 @@
 // Members returns the newest configuration in the log, committed or not.
 func (c *Core) Members() Members { return slices.Clone(c.members) }
 
+// MembersCommitted reports whether the newest configuration is known to be committed.
+func (c *Core) MembersCommitted() bool { return c.membersIndex <= c.commit }
+
 // CommitIndex returns the last index known to be committed.
 func (c *Core) CommitIndex() uint64 { return c.commit }
 
--- a/internal/control/group/status.go
+++ b/internal/control/group/status.go
@@ -38,7 +38,7 @@
 		}
 		answer.Members = append(answer.Members, s)
 	}
-	answer.FullRedundancy = whole && voters >= targetVoters
+	answer.FullRedundancy = whole && voters >= targetVoters && g.core.MembersCommitted()
 }
 
 func (g *Group) statusEntries(l *lead, answer *oper.StatusAnswer) {
--- a/internal/control/place/view.go
+++ b/internal/control/place/view.go
@@ -54,6 +54,9 @@
 // NewHotKey returns a key's hash with its requests per second.
 func NewHotKey(hash uint64, rate float64) HotKey { return HotKey{hash: hash, rate: rate} }
 
+// Rate returns the key's requests per second.
+func (k HotKey) Rate() float64 { return k.rate }
+
 // View is what a policy knows of one service.
 type View struct {
 	service string
--- a/internal/control/place/weighted.go
+++ b/internal/control/place/weighted.go
@@ -25,7 +25,6 @@
 	slicesPerMember   = 64
 	churnPerMinute    = 0.25
 	moveTimeShare     = 0.02
-	holdTime          = 20 * time.Second
 	mergeHoldTime     = 60 * time.Second
 	rampTime          = 20 * time.Second
 	rampStart         = 0.3
@@ -48,6 +47,9 @@
 	return &Weighted{moved: map[uint64]time.Duration{}, split: map[uint64]time.Duration{}, budget: churnPerMinute}
 }
 
+// HoldTime is how long a slice that was moved for balance stays where it is.
+const HoldTime = 20 * time.Second
+
 // bearer is an upstream with the load it will bear once all moves are done.
 type bearer struct {
 	member *Member
@@ -147,7 +149,7 @@
 	w.budget = min(most, w.budget+most*float64(now-w.budgetAt)/float64(time.Minute))
 	w.budgetAt = now
 	for start, at := range w.moved {
-		if now-at > holdTime {
+		if now-at > HoldTime {
 			delete(w.moved, start)
 		}
 	}
