admit: late requests use up no turn, waits are learnt by class; trials of placement and admission

Ruled out: order of classes (urgent ones were all in time).

place: the lightest upstream is found by a heap.

--- a/cmd/ebonyrill-measure/main.go
+++ b/cmd/ebonyrill-measure/main.go
@@ -14,6 +14,8 @@
 		what = os.Args[1]
 	}
 	switch what {
+	case "admission":
+		trial.Admission(os.Stdout)
 	case "placement":
 		trial.Placement(os.Stdout)
 	default:
--- a/internal/control/place/weighted.go
+++ b/internal/control/place/weighted.go
@@ -56,6 +56,7 @@
 	target float64
 	load   float64
 	owned  []int
+	rank   int
 }
 
 func (b *bearer) relative() float64 { return b.load / b.target }
@@ -67,6 +68,7 @@
 	loads      []float64
 	bearers    map[uint32]*bearer
 	ready      []*bearer
+	light      *order[*bearer]
 	operations []state.Operation
 	taken      map[int]bool
 	policy     *Weighted
@@ -112,6 +114,7 @@
 			b.owned = append(b.owned, i)
 		}
 	}
+	p.light = newOrder(slices.Clone(p.ready), lighter, func(b *bearer, at int) { b.rank = at })
 	return p
 }
 
@@ -161,10 +164,21 @@
 }
 
 // lightest returns the ready upstream that bears least for its capacity.
-func (p *plan) lightest() *bearer {
-	return slices.MinFunc(p.ready, func(a, b *bearer) int {
-		return cmp.Or(cmp.Compare(a.relative(), b.relative()), cmp.Compare(a.member.number, b.member.number))
-	})
+func (p *plan) lightest() *bearer { return p.light.first() }
+
+func lighter(a, b *bearer) bool {
+	if a.relative() != b.relative() {
+		return a.relative() < b.relative()
+	}
+	return a.member.number < b.member.number
+}
+
+// bear changes an upstream's load.
+func (p *plan) bear(b *bearer, load float64) {
+	b.load += load
+	if b.member.state == Ready {
+		p.light.fix(b.rank)
+	}
 }
 
 // give plans the slice's move and counts its load on the new side at once.
@@ -175,9 +189,9 @@
 		return
 	}
 	if from := p.bearers[planned(e)]; from != nil {
-		from.load -= p.loads[i]
+		p.bear(from, -p.loads[i])
 	}
-	to.load += p.loads[i]
+	p.bear(to, p.loads[i])
 	p.taken[i] = true
 	p.policy.moved[e.Start] = p.now
 	p.operations = append(p.operations, o)
--- a/internal/entry/admit/queue.go
+++ b/internal/entry/admit/queue.go
@@ -10,6 +10,8 @@
 const (
 	averageWeight  = 0.1
 	initialAverage = 5 * time.Millisecond
+	slownessWeight = 0.05
+	mostSlowness   = 20.0
 )
 
 // Ticket is one request that wants a slot.
@@ -18,6 +20,8 @@
 	caller   string
 	deadline time.Duration
 	payload  any
+	queuedAt time.Duration
+	expected time.Duration
 }
 
 // NewTicket returns a request's ticket; the payload is handed back with it.
@@ -47,10 +51,12 @@
 	tickets []*Ticket
 }
 
-// line is the queue of one class; callers take turns.
+// line is the queue of one class; callers take turns. Slowness is how many times longer its requests waited than those
+// ahead of them accounted for, as more urgent ones came after them.
 type line struct {
-	lanes []*lane
-	count int
+	lanes    []*lane
+	count    int
+	slowness float64
 }
 
 // Queue decides who may use an upstream's slots; it has no clock and no lock of its own.
@@ -65,7 +71,11 @@
 
 // NewQueue returns a queue for a number of slots that lets at most limit requests wait.
 func NewQueue(slots, limit int) *Queue {
-	return &Queue{slots: slots, limit: limit, average: initialAverage}
+	q := &Queue{slots: slots, limit: limit, average: initialAverage}
+	for class := range q.lines {
+		q.lines[class].slowness = 1
+	}
+	return q
 }
 
 // Resize changes the slots and the bound of the queue.
@@ -87,7 +97,8 @@
 		q.busy++
 		return Start, nil
 	}
-	if now+q.expectedWait(t) > t.deadline {
+	t.queuedAt, t.expected = now, q.expectedWait(t)
+	if now+time.Duration(float64(t.expected)*q.lines[t.class].slowness)+q.average > t.deadline {
 		return Shed, nil
 	}
 	if q.waiting >= q.limit {
@@ -99,14 +110,14 @@
 	return Wait, displaced
 }
 
-// expectedWait estimates the time until an answer from those who go first and the smoothed service time.
+// expectedWait estimates the time until a slot is free from those who go first and the smoothed service time.
 func (q *Queue) expectedWait(t *Ticket) time.Duration {
 	ahead := 0
 	for class := conf.Class(0); class < t.class; class++ {
 		ahead += q.lines[class].count
 	}
 	ahead += q.lines[t.class].turnsBefore(t.caller)
-	return q.average * time.Duration(ahead+q.slots) / time.Duration(max(q.slots, 1))
+	return q.average * time.Duration(ahead+1) / time.Duration(max(q.slots, 1))
 }
 
 // turnsBefore counts the requests that are served before a new one of the caller when callers take turns.
@@ -212,38 +223,47 @@
 
 // Pump gives a free slot to the request whose turn it is and returns those that are too late.
 func (q *Queue) Pump(now time.Duration) (next *Ticket, late []*Ticket) {
-	for q.busy < q.slots {
-		t := q.pop()
-		if t == nil {
-			return nil, late
-		}
-		if now+q.average/2 > t.deadline {
-			late = append(late, t)
-			continue
+	if q.busy >= q.slots {
+		return nil, nil
+	}
+	for class := range q.lines {
+		l := &q.lines[class]
+		next, late = q.popFrom(l, now, late)
+		if next != nil {
+			q.busy++
+			return next, late
 		}
-		q.busy++
-		return t, late
 	}
 	return nil, late
 }
 
-// pop takes the first request of the caller whose turn it is in the most urgent class.
-func (q *Queue) pop() *Ticket {
-	for class := range q.lines {
-		l := &q.lines[class]
-		if l.count == 0 {
-			continue
-		}
+// popFrom takes the first request in time of the caller whose turn it is; requests that are too late do not use up a
+// turn.
+func (q *Queue) popFrom(l *line, now time.Duration, late []*Ticket) (*Ticket, []*Ticket) {
+	for len(l.lanes) > 0 {
 		a := l.lanes[0]
-		t := a.tickets[0]
-		a.tickets = a.tickets[1:]
 		l.lanes = l.lanes[1:]
-		if len(a.tickets) > 0 {
-			l.lanes = append(l.lanes, a)
+		for len(a.tickets) > 0 {
+			t := a.tickets[0]
+			a.tickets = a.tickets[1:]
+			l.count--
+			q.waiting--
+			l.learn(now, t)
+			if now+q.average/2 > t.deadline {
+				late = append(late, t)
+				continue
+			}
+			if len(a.tickets) > 0 {
+				l.lanes = append(l.lanes, a)
+			}
+			return t, late
 		}
-		l.count--
-		q.waiting--
-		return t
 	}
-	return nil
+	return nil, late
+}
+
+// learn compares a wait that has ended with what was expected of it.
+func (l *line) learn(now time.Duration, t *Ticket) {
+	ratio := float64(now-t.queuedAt) / float64(max(t.expected, time.Microsecond))
+	l.slowness += slownessWeight * (min(max(ratio, 1), mostSlowness) - l.slowness)
 }
--- a/internal/sample/trial/field.go
+++ b/internal/sample/trial/field.go
@@ -20,7 +20,7 @@
 	keysPerField  = 20000
 	slicesPerTest = 256
 	requestRate   = 5000.0
-	zipfExponent  = 0.9
+	zipfExponent  = 1.0
 	hotKeyShare   = 0.002
 	hotKeysShown  = 32
 	flapMemory    = 10 * time.Minute
@@ -85,7 +85,7 @@
 	f.weights = make([]float64, keysPerField)
 	sum := 0.0
 	for i, k := range f.random.Perm(keysPerField) {
-		f.weights[k] = 1 / math.Pow(float64(i+10), zipfExponent)
+		f.weights[k] = 1 / math.Pow(float64(i+1), zipfExponent)
 		sum += f.weights[k]
 	}
 	for i := range f.weights {
@@ -258,11 +258,12 @@
 func (f *field) finish() {
 	var left []movement
 	for _, m := range f.moves {
-		if m.done > f.now {
+		e, ok := f.set.StartsAt(m.start)
+		owner := f.worker(e.Owner)
+		if m.done > f.now || ok && e.Moving() && owner != nil && !owner.alive {
 			left = append(left, m)
 			continue
 		}
-		e, ok := f.set.StartsAt(m.start)
 		if ok && e.Moving() {
 			e.Owner, e.Next = e.Next, 0
 			f.set, _ = f.set.Apply([]slice.Change{{Slice: e}})
