--- /dev/null
+++ b/internal/ops/daemon/process_test.go
@@ -0,0 +1,334 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/sample/drive"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+)
+
+// Sizes of the cluster of real processes.
+const (
+	clusterControl = 3
+	clusterEntries = 4
+	waitBound      = 40 * time.Second
+)
+
+// cluster is real daemons and sample upstreams that a test started.
+type cluster struct {
+	c       *qt.C
+	bin     string
+	folder  string
+	host    []daemonAddresses
+	running map[string]*exec.Cmd
+	serial  int
+}
+
+// daemonAddresses are where one daemon listens.
+type daemonAddresses struct {
+	callers, peers, admin string
+}
+
+var build = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "ebonyrill-test")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", folder, "ebonyrill.dev/ebonyrill/cmd/ebonyrill",
+		"ebonyrill.dev/ebonyrill/cmd/ebonyrilld", "ebonyrill.dev/ebonyrill/cmd/ebonyrill-sample").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return folder, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if folder, err := build(); err == nil {
+		_ = os.RemoveAll(folder)
+	}
+	os.Exit(code)
+}
+
+func freeAddress(c *qt.C) string {
+	c.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// mustCluster starts control hosts and an entry host, publishes the fixtures' services and starts sample upstreams.
+func mustCluster(t *testing.T) *cluster {
+	k := &cluster{c: qt.New(t), folder: t.TempDir(), running: map[string]*exec.Cmd{}}
+	var err error
+	k.bin, err = build()
+	k.c.Assert(err, qt.IsNil)
+	k.c.Cleanup(k.endAll)
+	for range clusterEntries {
+		k.host = append(k.host, daemonAddresses{freeAddress(k.c), freeAddress(k.c), freeAddress(k.c)})
+	}
+	for i := range k.host {
+		k.writeSettings(i, i < clusterControl)
+		k.startHost(i)
+	}
+	k.eventually("group", func() bool { return k.try("hosts", "init") == nil })
+	k.must("publish", "--wait", "../../../_fixtures/services")
+	for i := range 3 {
+		k.startUpstream(fmt.Sprintf("frame%d", i), "frameRegister")
+		k.startUpstream(fmt.Sprintf("lists%d", i), "listesvc")
+	}
+	k.awaitSettled(6)
+	return k
+}
+
+func (k *cluster) writeSettings(i int, control bool) {
+	var addresses []string
+	for _, h := range k.host[:clusterControl] {
+		addresses = append(addresses, h.peers)
+	}
+	text := fmt.Sprintf("[host]\nname = host%d\ndataCentre = centre-%d\n[listen]\ncallers = %s\npeers = %s\nadmin = %s\n[control]\naddresses = %s\n",
+		i, i%3, k.host[i].callers, k.host[i].peers, k.host[i].admin, strings.Join(addresses, ", "))
+	if control {
+		text += "dataFolder = " + filepath.Join(k.folder, fmt.Sprintf("data%d", i)) + "\n"
+	}
+	text += "[drain]\nnotice = 700ms\nbound = 10s\n"
+	k.c.Assert(os.WriteFile(k.settings(i), []byte(text), 0o600), qt.IsNil)
+}
+
+func (k *cluster) settings(i int) string {
+	return filepath.Join(k.folder, fmt.Sprintf("host%d.ini", i))
+}
+
+func (k *cluster) start(name, program string, args ...string) {
+	k.c.Helper()
+	cmd := exec.Command(filepath.Join(k.bin, program), args...)
+	log, err := os.OpenFile(filepath.Join(k.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	k.c.Assert(err, qt.IsNil)
+	cmd.Stdout, cmd.Stderr = log, log
+	k.c.Assert(cmd.Start(), qt.IsNil)
+	k.running[name] = cmd
+}
+
+func (k *cluster) startHost(i int) {
+	k.start(fmt.Sprintf("host%d", i), "ebonyrilld", "run", "--settings", k.settings(i))
+}
+
+func (k *cluster) startUpstream(name, service string, more ...string) {
+	k.serial++
+	var admins []string
+	for _, h := range k.host {
+		admins = append(admins, h.admin)
+	}
+	args := []string{"--name", name, "--service", service, "--address", freeAddress(k.c), "--data-centre", "centre-0",
+		"--entries", strings.Join(admins, ","), "--journal", filepath.Join(k.folder, fmt.Sprintf("%s-%d.journal", name, k.serial)), "--slots", "6"}
+	k.start(name, "ebonyrill-sample", append(args, more...)...)
+}
+
+// signal sends a signal to a process that this test started.
+func (k *cluster) signal(name string, s syscall.Signal) { _ = k.running[name].Process.Signal(s) }
+
+// end waits for a process to end and returns its error.
+func (k *cluster) end(name string) error {
+	err := k.running[name].Wait()
+	delete(k.running, name)
+	return err
+}
+
+func (k *cluster) endAll() {
+	for name := range k.running {
+		k.signal(name, syscall.SIGCONT)
+		k.signal(name, syscall.SIGKILL)
+	}
+	for name := range k.running {
+		_ = k.end(name)
+	}
+}
+
+// command runs an operator's command.
+func (k *cluster) command(args ...string) (string, error) {
+	var peers []string
+	for _, h := range k.host[:clusterControl] {
+		peers = append(peers, h.peers)
+	}
+	cmd := exec.Command(filepath.Join(k.bin, "ebonyrill"), append([]string{"--hosts", strings.Join(peers, ",")}, args...)...)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := cmd.Run()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, errOut.String())
+	}
+	return out.String(), err
+}
+
+func (k *cluster) try(args ...string) error {
+	_, err := k.command(args...)
+	return err
+}
+
+func (k *cluster) must(args ...string) string {
+	k.c.Helper()
+	out, err := k.command(args...)
+	k.c.Assert(err, qt.IsNil)
+	return out
+}
+
+func (k *cluster) eventually(what string, check func() bool) {
+	k.c.Helper()
+	for until := time.Now().Add(waitBound); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	k.c.Fatalf("not reached: %s", what)
+}
+
+func (k *cluster) status() (s oper.StatusAnswer, ok bool) {
+	out, err := k.command("status", "--json")
+	if err != nil || json.Unmarshal([]byte(out), &s) != nil {
+		return s, false
+	}
+	return s, true
+}
+
+func (k *cluster) awaitSettled(upstreams int) {
+	k.c.Helper()
+	k.eventually("all slices owned", func() bool {
+		s, ok := k.status()
+		return ok && len(s.Upstreams) == upstreams && s.Unowned == 0 && s.Handovers == 0
+	})
+}
+
+// leaderIndex returns which host leads.
+func (k *cluster) leaderIndex() int {
+	k.c.Helper()
+	s, ok := k.status()
+	k.c.Assert(ok, qt.IsTrue)
+	for _, m := range s.Members {
+		for i, h := range k.host {
+			if m.Leader && m.Address == h.peers {
+				return i
+			}
+		}
+	}
+	k.c.Fatal("no leader")
+	return 0
+}
+
+// underLoad sends load while something is done, and checks every promise afterwards.
+func (k *cluster) underLoad(length time.Duration, do func()) drive.Verdict {
+	k.c.Helper()
+	o := drive.Options{Keys: 100, Rate: 100, Duration: length, WriteShare: 0.4, Seed: 3,
+		Services: []drive.Service{{Prefix: "/frames", Write: "closure"}, {Prefix: "/lists", Write: "reorder"}}}
+	for _, h := range k.host {
+		o.Entries = append(o.Entries, drive.Entry{Callers: h.callers, Admin: h.admin})
+	}
+	result := make(chan drive.Result, 1)
+	go func() { result <- drive.Run(o) }()
+	time.Sleep(time.Second)
+	do()
+	sent := <-result
+	names, err := filepath.Glob(filepath.Join(k.folder, "*.journal"))
+	k.c.Assert(err, qt.IsNil)
+	executions, err := drive.ReadJournals(names)
+	k.c.Assert(err, qt.IsNil)
+	v := drive.Verify(sent, executions)
+	k.c.Logf("%+v", v)
+	k.c.Assert(v.Broken(), qt.IsFalse, qt.Commentf("%+v", v))
+	return v
+}
+
+// assertNothingCut holds that every request was answered as done.
+func assertNothingCut(c *qt.C, v drive.Verdict) {
+	c.Helper()
+	c.Assert(v.Outcomes, qt.DeepEquals, map[string]int{"done": v.Requests})
+}
+
+func TestGracefulStopCutsNothing(t *testing.T) {
+	k := mustCluster(t)
+	v := k.underLoad(9*time.Second, func() {
+		k.signal("host3", syscall.SIGTERM)
+		k.signal("frame0", syscall.SIGTERM)
+		k.c.Check(k.end("host3"), qt.IsNil)
+		k.c.Check(k.end("frame0"), qt.IsNil)
+		leader := fmt.Sprintf("host%d", k.leaderIndex())
+		k.signal(leader, syscall.SIGTERM)
+		k.c.Check(k.end(leader), qt.IsNil)
+	})
+	assertNothingCut(k.c, v)
+}
+
+func TestFrozenProcessesBreakNoPromise(t *testing.T) {
+	k := mustCluster(t)
+	k.startUpstream("lists9", "listesvc", "--unchecked")
+	k.awaitSettled(7)
+	k.underLoad(14*time.Second, func() {
+		for _, name := range []string{"frame1", "lists9", "host3", fmt.Sprintf("host%d", k.leaderIndex())} {
+			k.signal(name, syscall.SIGSTOP)
+			time.Sleep(2500 * time.Millisecond)
+			k.signal(name, syscall.SIGCONT)
+		}
+	})
+	k.awaitSettled(7)
+}
+
+func TestLostDiskThenSecondLoss(t *testing.T) {
+	k := mustCluster(t)
+	k.underLoad(9*time.Second, func() {
+		lost := k.leaderIndex()
+		name := fmt.Sprintf("host%d", lost)
+		k.signal(name, syscall.SIGKILL)
+		_ = k.end(name)
+		k.c.Assert(os.RemoveAll(filepath.Join(k.folder, fmt.Sprintf("data%d", lost))), qt.IsNil)
+		k.startHost(lost)
+		k.eventually("replacement", func() bool { return k.try("hosts", "replace", k.host[lost].peers, k.host[lost].peers) == nil })
+		second := fmt.Sprintf("host%d", (lost+1)%clusterControl)
+		k.signal(second, syscall.SIGKILL)
+		_ = k.end(second)
+	})
+	k.eventually("a leader after the second loss", func() bool { _, ok := k.status(); return ok })
+	k.must("publish", "../../../_fixtures/services")
+}
+
+func TestOperatorsRace(t *testing.T) {
+	k := mustCluster(t)
+	s, ok := k.status()
+	k.c.Assert(ok, qt.IsTrue)
+	base := fmt.Sprint(s.ConfigVersion)
+	codes := make([]int, 2)
+	var wait sync.WaitGroup
+	for i := range codes {
+		wait.Go(func() {
+			err := k.try("publish", "--base", base, "--id", fmt.Sprintf("20260102T150405.000Z-race%d", i), "../../../_fixtures/services")
+			var exit *exec.ExitError
+			if err != nil && errors.As(err, &exit) {
+				codes[i] = exit.ExitCode()
+			}
+		})
+	}
+	wait.Wait()
+	k.c.Assert(codes[0]+codes[1], qt.Equals, 3, qt.Commentf("one is accepted and one is not: %v", codes))
+	won := 0
+	if codes[0] != 0 {
+		won = 1
+	}
+	leader := fmt.Sprintf("host%d", k.leaderIndex())
+	k.signal(leader, syscall.SIGKILL)
+	_ = k.end(leader)
+	again := k.must("publish", "--base", base, "--id", fmt.Sprintf("20260102T150405.000Z-race%d", won), "../../../_fixtures/services")
+	k.c.Assert(again, qt.Contains, "accepted as version")
+}
