agree: elections start after 180 to 320 ms

Ruled out: elections of 150 to 300 ms gained nothing while the stand-in entry host turned away from the right host on late timeouts; that fault of the stand-in is mended, as it hid the effect.

--- a/internal/control/agree/types.go
+++ b/internal/control/agree/types.go
@@ -105,7 +105,7 @@
 
 // DefaultTiming returns intervals for hosts about 1 ms apart.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 50 * time.Millisecond, ElectionMin: 250 * time.Millisecond, ElectionMax: 450 * time.Millisecond}
+	return Timing{Heartbeat: 40 * time.Millisecond, ElectionMin: 180 * time.Millisecond, ElectionMax: 320 * time.Millisecond}
 }
 
 // Drift of monotonic clocks between any two hosts that the leader lease allows for.
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
 	"ebonyrill.dev/ebonyrill/internal/control/grant"
 	"ebonyrill.dev/ebonyrill/internal/control/state"
@@ -13,6 +15,7 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
 // world is real control hosts with fake disks, clocks, network, entry hosts and upstreams. It checks after each step
@@ -209,8 +212,23 @@
 	return nil
 }
 
-// ask performs a call from a node at a host and brings the answer back, both by way of the network.
+// askTimeout bounds one call, as it does in the entry host.
+const askTimeout = 250 * time.Millisecond
+
+// ask performs a call from a node at a host and brings the answer back, both by way of the network; without an answer
+// in time the node hears of a timeout.
 func ask[T any](w *world, from string, h *fakeHost, call func(*Group) (T, error), answer func(T, error)) {
+	ended := false
+	end := func(result T, err error) {
+		if !ended {
+			ended = true
+			answer(result, err)
+		}
+	}
+	w.in(from, askTimeout, func() {
+		var none T
+		end(none, &oper.ErrOutcomeUnknown{})
+	})
 	w.stage.send(from, h.name, func() {
 		if h.down {
 			return
@@ -221,7 +239,7 @@
 			result, err = call(g)
 			return nil
 		})
-		w.stage.send(h.name, from, func() { answer(result, err) })
+		w.stage.send(h.name, from, func() { end(result, err) })
 	})
 }
 
@@ -279,11 +297,25 @@
 	if a != nil {
 		r.Announcements = append(r.Announcements, *a)
 	}
-	sentAt, life := e.clock.now(), e.life
-	h := e.world.hosts[e.control%len(e.world.hosts)]
+	e.renewAt(r, e.clock.now(), e.life, 0, answer)
+}
+
+// renewTries is how many hosts a renewal is tried at.
+const renewTries = 6
+
+// renewAt tries a renewal at a host, and then where that one points to or at the next.
+func (e *fakeEntry) renewAt(r table.Renewal, sentAt time.Duration, life, tries int, answer func(table.GrantAnswer)) {
+	tried := e.control
+	h := e.world.hosts[tried%len(e.world.hosts)]
 	ask(e.world, e.name, h, func(g *Group) (*table.RenewalAnswer, error) { return g.renewNow(&r) }, func(got *table.RenewalAnswer, err error) {
-		if err != nil || e.life != life {
-			e.control++
+		if e.life != life {
+			return
+		}
+		if err != nil {
+			e.follow(tried, err)
+			if tries < renewTries {
+				e.renewAt(r, sentAt, life, tries+1, answer)
+			}
 			return
 		}
 		if got.Joined {
@@ -295,6 +327,18 @@
 	})
 }
 
+// follow turns away from a host that did not help, to the one that it points to or else to the next.
+func (e *fakeEntry) follow(tried int, err error) {
+	if e.control != tried {
+		return
+	}
+	e.control++
+	var hint *wire.ErrNoLeader
+	if errors.As(err, &hint) && hint.Leader != "" {
+		e.control = slices.IndexFunc(e.world.hosts, func(h *fakeHost) bool { return h.name == hint.Leader })
+	}
+}
+
 func (e *fakeEntry) watchLater(life int) {
 	e.world.in(e.name, 60*time.Millisecond, func() {
 		if e.life == life {
@@ -307,7 +351,7 @@
 func (e *fakeEntry) watch(life int) {
 	askedAt, held := e.world.now, e.view
 	q := &table.Watch{Name: e.name, Version: held.Version(), Digest: held.Digest()}
-	h := e.world.hosts[(e.control+e.world.random.IntN(2))%len(e.world.hosts)]
+	h := e.world.hosts[e.control%len(e.world.hosts)]
 	ask(e.world, e.name, h, func(g *Group) (*table.Delta, error) {
 		d, _, err := g.watchNow(q, true)
 		return d, err
