--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -48,17 +48,22 @@
 	upstreams map[uint32]*upstream
 	budgets   map[string]*retry.Budget
 	hops      pools
+	patience  time.Duration
 }
 
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler {
 	return &Handler{options: o, table: o.Table, guard: guard.New(time.Now), upstreams: map[uint32]*upstream{},
-		budgets: map[string]*retry.Budget{}, hops: newHopPools(o.Security)}
+		budgets: map[string]*retry.Budget{}, hops: newHopPools(o.Security), patience: callerPatience}
 }
 
+// callerPatience is how long a caller may take to send a body or to take an answer before its connection counts as
+// silent.
+const callerPatience = 10 * time.Second
+
 // ServeHTTP answers a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, whole, err := readBody(r, h.options.MaxBody)
+	body, whole, err := h.readBody(w, r)
 	switch {
 	case err != nil:
 		writeRefusal(w, &errBadCall{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
@@ -80,15 +85,22 @@
 	h.write(w, p)
 }
 
-// readBody reads a request's body up to the limit.
-func readBody(r *http.Request, limit int64) (body []byte, whole bool, err error) {
+// readBody reads a request's body up to the limit and within the caller's time. After a body that did not come whole
+// the time stays over, so that the server gives the connection up.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) (body []byte, whole bool, err error) {
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, true, nil
 	}
-	if r.ContentLength > limit {
+	if r.ContentLength > h.options.MaxBody {
 		return nil, false, nil
 	}
-	return wire.ReadLimited(r.Body, limit)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(h.patience))
+	body, whole, err = wire.ReadLimited(r.Body, h.options.MaxBody)
+	if err == nil && whole {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, whole, err
 }
 
 // carry tries until there is an answer, the outcome forbids another try, or the deadline has passed.
@@ -195,6 +207,9 @@
 
 // write brings a reply to the caller; one that turns out not to be whole breaks the connection.
 func (h *Handler) write(w http.ResponseWriter, p *reply) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(h.patience))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	if p.status == 0 {
 		writeRefusal(w, &errBadCall{refusalStatus(p), p.reason, "the request was not answered by its upstream"}, p.outcome)
 		return
--- a/internal/entry/relay/hop.go
+++ b/internal/entry/relay/hop.go
@@ -100,7 +100,7 @@
 // ServeHop answers a request that another entry host sent here as the owner's home.
 func (h *Handler) ServeHop(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerHop, "1")
-	body, whole, err := readBody(r, h.options.MaxBody)
+	body, whole, err := h.readBody(w, r)
 	if err != nil || !whole {
 		writeRefusal(w, &errBadCall{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
 		return
--- /dev/null
+++ b/internal/entry/relay/silent_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// muffler passes connections on until they are silenced; new ones work all the same.
+type muffler struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	conns    []*muffled
+}
+
+// muffled is one connection with a switch for each direction.
+type muffled struct {
+	towards, back atomic.Bool
+}
+
+func mustMuffler(c *qt.C, target string) *muffler {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	m := &muffler{listener: l}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			m.join(conn, target)
+		}
+	}()
+	return m
+}
+
+func (m *muffler) join(conn net.Conn, target string) {
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	k := &muffled{}
+	m.mutex.Lock()
+	m.conns = append(m.conns, k)
+	m.mutex.Unlock()
+	go pass(far, conn, &k.towards)
+	go pass(conn, far, &k.back)
+}
+
+func pass(to, from net.Conn, muffled *atomic.Bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if !muffled.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+// silence loses all that goes over the connections there are, in one or both directions.
+func (m *muffler) silence(towards, back bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, k := range m.conns {
+		k.towards.Store(towards)
+		k.back.Store(back)
+	}
+}
+
+func TestSilentConnectionsToUpstream(t *testing.T) {
+	directions := []struct {
+		name          string
+		towards, back bool
+	}{{"both ways", true, true}, {"towards the upstream", true, false}, {"from the upstream", false, true}}
+	setUp := func(t *testing.T) (*fixture, *scripted, *muffler) {
+		u := mustScripted(qt.New(t), func(conn net.Conn, r *http.Request) { answer(conn, r, "ok") })
+		m := mustMuffler(qt.New(t), u.address())
+		f := mustFixture(t, "entry1", upstreamAt(1, m.listener.Addr().String()))
+		for range 3 {
+			f.c.Assert(f.do("GET", "/frames/k").outcome, qt.Equals, Done)
+			f.c.Assert(f.do("POST", "/frames/k/closure").outcome, qt.Equals, Done)
+		}
+		return f, u, m
+	}
+	for _, d := range directions {
+		t.Run("lookup, "+d.name, func(t *testing.T) {
+			f, _, m := setUp(t)
+			m.silence(d.towards, d.back)
+			f.c.Assert(f.do("GET", "/frames/k").outcome, qt.Equals, Done)
+		})
+		t.Run("closure right away, "+d.name, func(t *testing.T) {
+			f, u, m := setUp(t)
+			runs := u.runs.Load()
+			m.silence(d.towards, d.back)
+			g := f.do("POST", "/frames/k/closure")
+			f.c.Assert(g.outcome, qt.Equals, Unknown)
+			f.c.Assert(u.runs.Load() <= runs+1, qt.IsTrue)
+			f.c.Assert(f.do("POST", "/frames/k/closure").outcome, qt.Equals, Done)
+		})
+		t.Run("closure after a while, "+d.name, func(t *testing.T) {
+			f, u, m := setUp(t)
+			runs := u.runs.Load()
+			m.silence(d.towards, d.back)
+			time.Sleep(provenIdle + 100*time.Millisecond)
+			assertOutcome(f.c, f.do("POST", "/frames/k/closure"), Done, u, runs+1)
+		})
+	}
+}
+
+func TestSilentCallerIsGivenUp(t *testing.T) {
+	f, u := withUpstream(t, func(conn net.Conn, r *http.Request) { answer(conn, r, "ok") })
+	f.handler.patience = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("POST /frames/k/closure HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\npart"))
+	f.c.Assert(err, qt.IsNil)
+	response, err := io.ReadAll(conn)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(string(response), qt.Contains, "Ebonyrill-Outcome: notRun")
+	f.c.Assert(u.runs.Load(), qt.Equals, int64(0))
+}
