--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, soak, bench, measure.
+# Targets: build, test, lint, demo, soak, bench, measure, capacity, mutants.
 GO ?= go
 TOOL = $(GO) tool -modfile=_tools/go.mod
 
-.PHONY: build test lint demo soak bench measure capacity
+.PHONY: build test lint demo soak bench measure capacity mutants
 
 build:
 	$(GO) build -o bin ./cmd/...
@@ -29,3 +29,6 @@
 
 capacity:
 	$(GO) run ./cmd/ebonyrill-measure capacity
+
+mutants:
+	bash _scripts/mutants.sh
--- /dev/null
+++ b/_scripts/mutants.sh
@@ -0,0 +1,95 @@
+#!/usr/bin/env bash
+# Takes one mechanism away at a time, in a copy, and holds that the test which claims it fails without it.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy="$(mktemp -d)"
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z | xargs -0 tar -cf - | tar -xf - -C "$copy"
+survivors=0
+only="${1:-}"
+
+mutant() { # NAME FILE FROM TO PACKAGE TEST
+  [ -n "$only" ] && [ "$only" != "$1" ] && return
+  cp "$2" "$copy/$2"
+  if ! python3 - "$copy/$2" "$3" "$4" <<'PY'
+import sys
+path, old, new = sys.argv[1:]
+text = open(path).read()
+if text.count(old) < 1:
+    sys.exit("text to change not found: " + old)
+open(path, "w").write(text.replace(old, new))
+PY
+  then
+    survivors=$((survivors + 1))
+    return
+  fi
+  if (cd "$copy" && EBONYRILL_SOAK_SEEDS="${SEEDS:-150}" go test -count=1 -timeout 120s -run "$6" "./$5" >"$copy/out" 2>&1); then
+    echo "SURVIVED $1: $6 passes without the mechanism"
+    survivors=$((survivors + 1))
+  elif grep -q -e '--- FAIL' -e '^panic' "$copy/out"; then
+    echo "killed   $1 by $6"
+  else
+    echo "UNCLEAR  $1:"
+    tail -5 "$copy/out"
+    survivors=$((survivors + 1))
+  fi
+  cp "$2" "$copy/$2"
+}
+
+agree=internal/control/agree
+group=internal/control/group
+grant=internal/control/grant
+store=internal/control/store
+relay=internal/entry/relay
+mutant lateJoinLease $grant/keeper.go 'return r.Applied >= l.joinedAt' 'return true' $grant TestLeaseNeedsATableAsNewAsTheJoin
+mutant wholeLease $grant/keeper.go 'return t.lease + t.lease*driftNumerator/driftDenominator' 'return t.lease / 2' $grant TestLostOwnerIsWaitedOutForAWholeLease
+mutant wholeLeaseInWorld $grant/keeper.go 'return t.lease + t.lease*driftNumerator/driftDenominator' 'return t.lease / 3' $group TestSoakOwnership
+mutant newLeaderWaits $grant/keeper.go 'upstreamLease{renewedAt: now, healthy: true}' 'upstreamLease{renewedAt: now - time.Hour, healthy: true}' $grant TestNewLeaderTreatsLeasesAsLive
+mutant ackBeforeMove $grant/keeper.go 'l.held < h.needHeld && now-l.renewedAt' 'false && now-l.renewedAt' $grant TestMoveWaitsForTheOldOwner
+mutant ackBeforeMoveInWorld $grant/keeper.go 'l.held < h.needHeld && now-l.renewedAt' 'false && now-l.renewedAt' $group TestSoakOwnership
+mutant entriesPast $grant/keeper.go 'return owner.ChecksFence || k.entriesPast(now, h.needTable)' 'return true' $grant TestUncheckedOwnerIsWaitedForAtEntryHosts
+mutant ghosts $grant/keeper.go 'if now < k.ghostsGone {' 'if false {' $grant TestUncheckedOwnerIsWaitedForAtEntryHosts
+mutant condemned $grant/keeper.go 'if u.Incarnation != a.Incarnation || l == nil || l.condemned {' 'if u.Incarnation != a.Incarnation || l == nil {' $grant TestCondemnedUpstreamIsNotRenewed
+mutant replays $grant/keeper.go 'if a.Sequence <= l.sequence {' 'if false {' $grant TestReplayedAnnouncements
+mutant preVote $agree/elect.go 'c.requestVotes(MessagePreVote, c.hard.Term+1, 0)' 'c.startElection(now, 0)' $agree TestIsolatedHostDeposesNobody
+mutant stickyVote $agree/elect.go 'return m.Term > c.hard.Term && c.leaderIsRecent(now)' 'return false' $agree TestRestartedVoterKeepsItsPromiseToTheLeader
+mutant leaderLease $agree/core.go 'c.committedOwnTerm() && now < c.leaseEnd(now)' 'c.committedOwnTerm()' $agree 'TestIsolatedLeader|TestPausedLeader'
+mutant identity $agree/core.go 'if m.To != c.id || m.From == c.id {' 'if m.From == c.id {' $agree TestMessagesForAnotherIdentityAreDropped
+mutant oneVoteAtATime $agree/core.go 'if c.members.voterChanges(next) > 1 {' 'if false {' $agree TestMembershipChangesAreGuarded
+mutant transferTerm $agree/elect.go 'if c.role != Follower || m.From != c.leader ||' 'if c.role != Follower ||' $agree TestLateTransferOrderDeposesNobody
+mutant persistFirst $group/group.go 'if err = g.store.Save(out.Hard, out.Append); err != nil {' 'if g.core.Role() == agree.Leader { err = g.store.Save(out.Hard, out.Append) }; if err != nil {' $group 'TestSoakOwnership|TestSoakRepair'
+mutant redundancy $group/status.go ' && g.core.MembersCommitted()' '' $group TestFullRedundancyMeansCommittedMembers
+mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
+mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
+mutant corruptMiddle $store/store.go 'if wholeRecordBehind(data[offset:]) {' 'if false {' $store TestCorruptMiddle
+mutant outcomeKept internal/control/state/publish.go 'if known, ok := s.Outcome(p.ID); ok {' 'if known, ok := s.Outcome(p.ID); ok && false {' internal/control/state TestPublishOutcomes
+mutant compareAndSet internal/control/state/publish.go 'case p.Base != s.config.Version:' 'case false:' internal/control/state TestPublishOutcomes
+mutant fenceGrows internal/control/state/plan.go 'e.Owner, e.Next, e.Fence = to, 0, s.index' 'e.Owner, e.Next = to, 0' internal/control/state TestFencesOnlyGrow
+mutant mergeFence internal/control/state/plan.go 'e.Fence = s.index
+		s.touchGrants(e.Owner)' 's.touchGrants(e.Owner)' internal/control/state TestFencesOnlyGrow
+mutant growingVersions internal/shared/table/view.go 'if d.To < v.version || (!d.Full && d.From != v.version) {' 'if false {' internal/entry/route TestOnlyNewerAndWholeTablesAreTaken
+mutant replayOff $relay/here.go 'Body: opaqueBody{bytes.NewReader(c.body)}}' 'Body: http.NoBody}' $relay TestNonIdempotent
+mutant unknownIsNotRetried $relay/handler.go 'return c.handling.Idempotent && p.reason != ReasonAmbiguous' 'return true' $relay TestNonIdempotentRunsAtMostOnce
+mutant notRunProof $relay/here.go 'if !sent.Any() {' 'if true {' $relay TestNonIdempotentRunsAtMostOnce
+mutant sameIdOnce internal/entry/guard/guard.go 'if r = g.records[id]; r != nil {' 'if r = g.records[id]; false {' $relay TestRequestIDRunsOnce
+mutant ambiguousId internal/entry/guard/guard.go 'if resend != FirstSending && g.now().Sub(since) < window {' 'if false {' $relay TestRequestIDRunsOnce
+mutant attemptEcho $relay/answer.go 'crossed := echo != attempt &&' 'crossed := false &&' $relay 'TestIdempotentIsAskedAgain|TestLateAndDoubled'
+mutant lengthKnown $relay/answer.go 'if crossed || !lengthKnown(response) {' 'if crossed {' $relay TestNonIdempotentRunsAtMostOnce
+mutant brokenOnTruncation $relay/handler.go 'panic(http.ErrAbortHandler)' 'return' $relay TestLongAnswerCutShort
+mutant tracking $relay/here.go 'if p.outcome == Unknown && !target.Upstream().ChecksFence {' 'if false {' $relay TestRequestThatMayLieInASocket
+mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
+mutant provenConnections $relay/upstream.go 'provenIdle       = 500 * time.Millisecond' 'provenIdle       = 50 * time.Second' $relay 'TestSilentConnectionsToUpstream/closure_after'
+mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
+mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
+mutant turns internal/entry/admit/queue.go 'l.lanes = append(l.lanes, a)
+			}
+			return t, late' 'l.lanes = append([]*lane{a}, l.lanes...)
+			}
+			return t, late' internal/entry/admit TestCallersTakeTurns
+mutant earlyShed internal/entry/admit/queue.go '+q.average > t.deadline {
+		return Shed, nil' '+q.average > t.deadline && false {
+		return Shed, nil' internal/entry/admit TestHopelessRequestIsShedAtOnce
+mutant wireVersion internal/shared/wire/wire.go 'v != Version' 'false' internal/shared/wire TestOtherVersions
+mutant silentCalls internal/shared/wire/wire.go 'c.http.CloseIdleConnections()' '_ = c' internal/shared/wire TestSilentConnectionCostsOneCall
+echo "$survivors mutants survived"
+[ "$survivors" -eq 0 ]
--- a/cmd/ebonyrill-measure/main.go
+++ b/cmd/ebonyrill-measure/main.go
@@ -3,23 +3,36 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"ebonyrill.dev/ebonyrill/internal/sample/trial"
 )
 
 func main() {
-	what := "policies"
+	out := io.Writer(os.Stdout)
+	what := ""
 	if len(os.Args) > 1 {
 		what = os.Args[1]
 	}
+	var err error
 	switch what {
-	case "admission":
-		trial.Admission(os.Stdout)
+	case "policies":
+		trial.Placement(out)
+		trial.Admission(out)
 	case "placement":
-		trial.Placement(os.Stdout)
+		trial.Placement(out)
+	case "admission":
+		trial.Admission(out)
+	case "capacity":
+		err = trial.Capacity(out)
+	case "forward":
+		err = trial.Forward(out)
 	default:
-		fmt.Fprintln(os.Stderr, "usage: ebonyrill-measure placement")
-		os.Exit(2)
+		err = fmt.Errorf("usage: ebonyrill-measure policies|placement|admission|capacity|forward")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/sample/trial/capacity.go
@@ -0,0 +1,412 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/control/grant"
+	"ebonyrill.dev/ebonyrill/internal/control/group"
+	"ebonyrill.dev/ebonyrill/internal/control/state"
+	"ebonyrill.dev/ebonyrill/internal/control/store"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/sketch"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Capacity measures the slopes that docs/CAPACITY.md is worked out from.
+func Capacity(out io.Writer) (err error) {
+	fmt.Fprintln(out, "| what | measured | line | largest residual |\n|---|---|---|---|")
+	lookups(out)
+	tables(out)
+	sketches(out)
+	if err = logs(out); err != nil {
+		return err
+	}
+	if err = snapshots(out); err != nil {
+		return err
+	}
+	plans(out)
+	if err = renewals(out); err != nil {
+		return err
+	}
+	return watches(out)
+}
+
+func delta(count, upstreams int, version uint64) table.Delta {
+	d := table.Delta{Full: true, To: version, Config: &table.Config{}}
+	for i := range upstreams {
+		d.Upstreams = append(d.Upstreams, table.Upstream{Number: uint32(i) + 1, Name: fmt.Sprint("upstream-", i), Service: "s", Address: "10.0.0.1:8080", DataCentre: "dc"})
+	}
+	whole := slice.NewSet(count).Slices()
+	for i := range whole {
+		whole[i].Owner, whole[i].Fence = uint32(i%upstreams)+1, uint64(i)
+	}
+	set, _ := slice.FromSlices(whole)
+	d.Tables = []table.TableChanges{{Service: "s", Whole: whole}}
+	d.Digest = table.ServiceDigest("s", set)
+	return d
+}
+
+func lookups(out io.Writer) {
+	const rounds = 2000000
+	var points []point
+	for _, count := range []int{32000, 64000, 128000} {
+		t := route.NewTable("e", 1)
+		_ = t.Apply(delta(count, 2000, 1))
+		random := rand.New(rand.NewPCG(1, 1))
+		started := time.Now()
+		for range rounds {
+			_ = t.Find("s", random.Uint64())
+		}
+		points = append(points, point{float64(count), float64(time.Since(started).Nanoseconds()) / rounds})
+	}
+	row(out, "route lookup", "slices", "ns", points)
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func tables(out io.Writer) {
+	var memory, applied, whole, small []point
+	for _, count := range []int{32000, 64000, 128000} {
+		before := heapBytes()
+		d := delta(count, 2000, 1)
+		t := route.NewTable("e", 1)
+		_ = t.Apply(d)
+		d = table.Delta{}
+		memory = append(memory, point{float64(count), heapBytes() - before})
+		whole = append(whole, point{float64(count), encodedBytes(delta(count, 2000, 1))})
+		changes := []slice.Change{{Slice: slice.Slice{Start: 0, Owner: 1, Fence: 1 << 30}}}
+		set, _ := t.View().Set("s")
+		next, _ := set.Apply(changes)
+		step := table.Delta{From: 1, To: 2, Tables: []table.TableChanges{{Service: "s", Changes: changes}}, Digest: table.ServiceDigest("s", next)}
+		applied = append(applied, point{float64(count), applyTime(t, step)})
+		runtime.KeepAlive(t)
+	}
+	for _, changes := range []int{64, 256, 1024} {
+		d := table.Delta{From: 1, To: 2}
+		for i := range changes {
+			d.Tables = append(d.Tables, table.TableChanges{Service: "service-name", Changes: []slice.Change{{Slice: slice.Slice{Start: rand.Uint64(), Owner: uint32(i), Fence: 1 << 20, Next: 7}}}})
+		}
+		encoded, _ := wire.Marshal(d)
+		small = append(small, point{float64(changes), float64(len(encoded))})
+	}
+	row(out, "table in memory", "slices", "bytes", memory)
+	row(out, "whole table on the wire", "slices", "bytes", whole)
+	row(out, "delta on the wire", "changed slices", "bytes", small)
+	row(out, "applying one delta", "slices", "µs", applied)
+}
+
+func encodedBytes(v any) float64 {
+	encoded, _ := wire.Marshal(v)
+	return float64(len(encoded))
+}
+
+// applyTime returns the mean time in microseconds to apply one change, made again and again.
+func applyTime(t *route.Table, step table.Delta) float64 {
+	const rounds = 50
+	started := time.Now()
+	for i := range uint64(rounds) {
+		step.From, step.To = 1+i, 2+i
+		_ = t.Apply(step)
+	}
+	return float64(time.Since(started).Microseconds()) / rounds
+}
+
+func sketches(out io.Writer) {
+	var points, memory []point
+	for _, held := range []int{4096, 16384, 65536} {
+		before := heapBytes()
+		s := sketch.New[uint64](held)
+		random := rand.New(rand.NewPCG(1, 1))
+		zipf := rand.NewZipf(random, 1.1, 1, 530000000)
+		const adds = 1000000
+		started := time.Now()
+		for range adds {
+			s.Add(zipf.Uint64())
+		}
+		points = append(points, point{float64(held), float64(time.Since(started).Nanoseconds()) / adds})
+		memory = append(memory, point{float64(held), heapBytes() - before})
+		runtime.KeepAlive(s)
+	}
+	row(out, "sketch, one add over 530 M keys", "items held", "ns", points)
+	row(out, "sketch in memory", "items held", "bytes", memory)
+}
+
+func logs(out io.Writer) (err error) {
+	folder, err := os.MkdirTemp("", "ebonyrill-capacity")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	s, err := store.Open(folder, func() agree.ReplicaID { return 1 })
+	if err != nil {
+		return err
+	}
+	if err = s.Bootstrap(agree.Members{{ID: 1, Voter: true}}); err != nil {
+		return err
+	}
+	const rounds = 200
+	var times, sizes []point
+	index := uint64(2)
+	for _, bytes := range []int{200, 2000, 20000} {
+		before, started := s.LogBytes(), time.Now()
+		for range rounds {
+			e := agree.Entry{Index: index, Term: 1, Kind: agree.EntryCommand, Data: make([]byte, bytes)}
+			if err = s.Save(nil, []agree.Entry{e}); err != nil {
+				return err
+			}
+			index++
+		}
+		times = append(times, point{float64(bytes), float64(time.Since(started).Microseconds()) / rounds})
+		sizes = append(sizes, point{float64(bytes), float64(s.LogBytes()-before) / rounds})
+	}
+	row(out, "log append with sync", "bytes of a change", "µs", times)
+	row(out, "log on disk, one change", "bytes of a change", "bytes", sizes)
+	return s.Close()
+}
+
+func snapshots(out io.Writer) (err error) {
+	var times, sizes []point
+	for _, count := range []int{32000, 64000, 100000} {
+		s := state.New()
+		file := conf.File{Name: "s", Text: fmt.Sprintf("[service]\nname = s\nprefix = /s\nkey = path:2\nslices = %d\n", count)}
+		data, err := state.EncodeCommand(state.Command{Publish: &state.Publish{ID: "1", Files: []conf.File{file}}})
+		if err != nil {
+			return err
+		}
+		if _, err = s.Apply(1, data); err != nil {
+			return err
+		}
+		started := time.Now()
+		encoded, err := s.Encode()
+		if err != nil {
+			return err
+		}
+		times = append(times, point{float64(count), float64(time.Since(started).Microseconds())})
+		sizes = append(sizes, point{float64(count), float64(len(encoded))})
+	}
+	row(out, "snapshot, time to encode", "slices", "µs", times)
+	row(out, "snapshot", "slices", "bytes", sizes)
+	return nil
+}
+
+func plans(out io.Writer) {
+	var points, lost []point
+	for _, size := range [][2]int{{500, 32000}, {1000, 64000}, {2000, 128000}} {
+		took, _, _ := PlanStep(size[0], size[1], 0)
+		points = append(points, point{float64(size[1]), float64(took.Microseconds())})
+		took, _, _ = PlanStep(size[0], size[1], size[0]/7)
+		lost = append(lost, point{float64(size[1]), float64(took.Microseconds())})
+	}
+	row(out, "planning step", "slices", "µs", points)
+	row(out, "planning step, one upstream in seven lost", "slices", "µs", lost)
+}
+
+// control is one real control host in this process, served over loopback.
+type control struct {
+	group   *group.Group
+	server  *httptest.Server
+	address string
+	client  *wire.Client
+	folder  string
+}
+
+func newControl() (c *control, err error) {
+	c = &control{client: wire.NewClient(nil)}
+	if c.folder, err = os.MkdirTemp("", "ebonyrill-capacity"); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	c.server = httptest.NewServer(mux)
+	c.address = c.server.Listener.Addr().String()
+	c.group, err = group.Open(group.Options{Name: "c", Address: c.address, DataCentre: "dc", Folder: c.folder,
+		Terms: grant.NewTerms(5*time.Second, time.Second), Timing: agree.DefaultTiming(), Client: c.client, Log: events.Nop()})
+	if err != nil {
+		return nil, err
+	}
+	c.group.Serve(mux)
+	go func() { _ = c.group.Run() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	me, err := wire.Call[oper.Empty, oper.Identity](ctx, c.client, c.address, oper.Identify, &oper.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	if _, err = wire.Call[oper.BootstrapRequest, oper.Identity](ctx, c.client, c.address, oper.Bootstrap, &oper.BootstrapRequest{Members: []oper.Identity{*me}}); err != nil {
+		return nil, err
+	}
+	return c, c.publish("start")
+}
+
+func (c *control) close() {
+	c.server.CloseClientConnections()
+	c.group.Stop()
+	c.server.Close()
+	_ = os.RemoveAll(c.folder)
+}
+
+// publish puts one service in force; the id makes each a new version.
+func (c *control) publish(id string) (err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	hosts := wire.NewHosts(c.client, []string{c.address})
+	current, err := wire.CallLeader[oper.Empty, table.Config](ctx, hosts, time.Second, oper.Current, &oper.Empty{})
+	if err != nil {
+		return err
+	}
+	file := conf.File{Name: "s", Text: "# " + id + "\n[service]\nname = s\nprefix = /s\nkey = path:2\nslices = 4096\n"}
+	o, err := wire.CallLeader[oper.PublishRequest, table.Outcome](ctx, hosts, time.Second, oper.Publish, &oper.PublishRequest{
+		ID: time.Now().UTC().Format("20060102T150405.000Z") + "-" + id, Base: current.Version, By: "trial", Files: []conf.File{file}})
+	if err == nil && !o.Accepted {
+		return errors.New("publish was not accepted: " + o.Reason)
+	}
+	return err
+}
+
+// Rounds and time until joins and first assignments are over.
+const (
+	renewalWarmUp = 100
+	settleTime    = 2 * time.Second
+)
+
+// renewals measures what a renewal costs both sides together, against the announcements in it.
+func renewals(out io.Writer) (err error) {
+	c, err := newControl()
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	const rounds = 400
+	var points, bytes []point
+	sequence := uint64(1)
+	for _, upstreams := range []int{1, 10, 40} {
+		r := &table.Renewal{Host: table.EntryHost{Name: "e1", Incarnation: 1, Address: "127.0.0.1:1", DataCentre: "dc"}}
+		for i := range upstreams {
+			r.Announcements = append(r.Announcements, table.Announcement{Name: fmt.Sprint("upstream-", i), Incarnation: 1, Service: "s",
+				Address: "127.0.0.1:1", DataCentre: "dc", Slots: 3, Connections: 130, Healthy: true, ChecksFence: true})
+		}
+		var used time.Duration
+		for round := range rounds + renewalWarmUp {
+			if round == renewalWarmUp/2 {
+				time.Sleep(settleTime)
+			}
+			if round == renewalWarmUp {
+				used = processorTime()
+			}
+			for i := range r.Announcements {
+				r.Announcements[i].Sequence = sequence
+			}
+			sequence++
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			answer, err := wire.Call[table.Renewal, table.RenewalAnswer](ctx, c.client, c.address, oper.Renew, r)
+			cancel()
+			if err != nil {
+				return err
+			}
+			for i := range answer.Grants {
+				r.Announcements[i].Held = answer.Grants[i].Version
+			}
+		}
+		points = append(points, point{float64(upstreams), float64((processorTime() - used).Microseconds()) / rounds})
+		encoded, _ := wire.Marshal(r)
+		bytes = append(bytes, point{float64(upstreams), float64(len(encoded))})
+	}
+	row(out, "renewal, processor time of both sides", "announcements", "µs", points)
+	row(out, "renewal on the wire, without load counts", "announcements", "bytes", bytes)
+	return nil
+}
+
+// watches measures how long a new configuration takes to reach all of many watching hosts, and what it costs.
+func watches(out io.Writer) (err error) {
+	c, err := newControl()
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	var spread, cost, idle []point
+	for _, count := range []int{100, 200, 400} {
+		took, used, resting, err := c.fanOut(count)
+		if err != nil {
+			return err
+		}
+		spread = append(spread, point{float64(count), float64(took) / float64(time.Millisecond)})
+		cost = append(cost, point{float64(count), float64(used) / float64(time.Millisecond)})
+		idle = append(idle, point{float64(count), float64(resting) / float64(time.Millisecond)})
+	}
+	row(out, "publish until the last watching host has it", "hosts", "ms", spread)
+	row(out, "publish, processor time of all sides", "hosts", "ms", cost)
+	row(out, "watching for 2 s without news, processor time of all sides", "hosts", "ms", idle)
+	return nil
+}
+
+// fanOut lets hosts watch, rests, publishes, and waits until all have the new version.
+func (c *control) fanOut(count int) (took, used, resting time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var wait sync.WaitGroup
+	views := make([]chan uint64, count)
+	for i := range views {
+		views[i] = make(chan uint64, 64)
+		wait.Go(func() { c.follow(ctx, i, views[i]) })
+	}
+	for _, v := range views {
+		<-v
+	}
+	before := processorTime()
+	time.Sleep(2 * time.Second)
+	resting = processorTime() - before
+	before = processorTime()
+	started := time.Now()
+	if err = c.publish(fmt.Sprint("fan-", count)); err != nil {
+		return 0, 0, 0, err
+	}
+	for _, v := range views {
+		<-v
+	}
+	took, used = time.Since(started), processorTime()-before
+	cancel()
+	wait.Wait()
+	return took, used, resting, nil
+}
+
+// follow is one watching host.
+func (c *control) follow(ctx context.Context, number int, versions chan<- uint64) {
+	view := table.NewView()
+	client := wire.NewClient(nil)
+	for ctx.Err() == nil {
+		w := &table.Watch{Name: fmt.Sprint("e", number), Version: view.Version(), Digest: view.Digest(), Hold: time.Second}
+		d, err := wire.Call[table.Watch, table.Delta](ctx, client, c.address, oper.Watch, w)
+		if err != nil {
+			continue
+		}
+		next, err := view.Apply(*d)
+		if err != nil {
+			continue
+		}
+		if next.Config().Version != view.Config().Version {
+			versions <- next.Config().Version
+		}
+		view = next
+	}
+}
--- /dev/null
+++ b/internal/sample/trial/forward.go
@@ -0,0 +1,145 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Sizes of the forwarding trial.
+const (
+	forwardCallers = 32
+	forwardLength  = 4 * time.Second
+	forwardRounds  = 3
+)
+
+// quiet hears nothing.
+type quiet struct{}
+
+// Arrived hears of a request.
+func (quiet) Arrived(string, uint64, uint64) {}
+
+// Seen hears of an upstream.
+func (quiet) Seen(uint32, bool) {}
+
+// Ended hears of an answer.
+func (quiet) Ended(string, relay.Outcome, relay.Reason, int, time.Duration, time.Duration) {}
+
+// bare is the baseline: it clones the request into a transport and copies the answer.
+func bare(target *url.URL) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next := r.Clone(r.Context())
+		next.URL.Scheme, next.URL.Host, next.RequestURI = "http", target.Host, ""
+		response, err := transport.RoundTrip(next)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		for name, values := range response.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(response.StatusCode)
+		_, _ = io.Copy(w, response.Body)
+	})
+}
+
+func built(address string) (h http.Handler, err error) {
+	t := route.NewTable("e", 100)
+	whole := []slice.Slice{{Owner: 1, Fence: 1}}
+	set, err := slice.FromSlices(whole)
+	if err != nil {
+		return nil, err
+	}
+	text := "[service]\nname = s\nprefix = /s\nkey = path:2\nqueue = 10000\ndeadline = 10s\n"
+	err = t.Apply(table.Delta{Full: true, To: 1, Config: &table.Config{Version: 1, Files: []conf.File{{Name: "s", Text: text}}},
+		Entries:   []table.EntryHost{{Name: "e", DataCentre: "dc"}},
+		Upstreams: []table.Upstream{{Number: 1, Name: "u", Service: "s", Address: address, DataCentre: "dc", ChecksFence: true, Slots: 64, Connections: 512}},
+		Tables:    []table.TableChanges{{Service: "s", Whole: whole}}, Digest: table.ServiceDigest("s", set)})
+	return relay.NewHandler(relay.Options{Name: "e", Table: t, Scheme: "http", MaxBody: 1 << 20, MaxHold: time.Second,
+		Lease: func() time.Time { return time.Now().Add(time.Hour) }, Observer: quiet{}, Log: events.Nop()}), err
+}
+
+// Forward compares the built forwarding with the bare one, in turn, in one process with callers and upstream.
+func Forward(out io.Writer) (err error) {
+	body := strings.Repeat("x", 1024)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(relay.HeaderAttemptID, r.Header.Get(relay.HeaderAttemptID))
+		_, _ = io.WriteString(w, body)
+	}))
+	defer upstream.Close()
+	target, err := url.Parse(upstream.URL)
+	if err != nil {
+		return err
+	}
+	ours, err := built(target.Host)
+	if err != nil {
+		return err
+	}
+	baseline, subject := httptest.NewServer(bare(target)), httptest.NewServer(ours)
+	defer baseline.Close()
+	defer subject.Close()
+	fmt.Fprintln(out, "| round | bare, requests/s | as built, requests/s | ratio | bare p99 at half load | as built p99 at half load |\n|---|---|---|---|---|---|")
+	for round := range forwardRounds {
+		b, _ := drive(baseline.URL, 0)
+		s, _ := drive(subject.URL, 0)
+		half := min(b, s) / 2
+		_, bp := drive(baseline.URL, half)
+		_, sp := drive(subject.URL, half)
+		fmt.Fprintf(out, "| %d | %.0f | %.0f | %.2f | %.2f ms | %.2f ms |\n", round+1, b, s, s/b, millis(bp), millis(sp))
+	}
+	return nil
+}
+
+// drive sends requests as fast as they are answered, or at a rate, and returns the rate reached and the p99.
+func drive(address string, rate float64) (reached float64, p99 time.Duration) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: forwardCallers}}
+	var mutex sync.Mutex
+	var wait sync.WaitGroup
+	var times []time.Duration
+	until := time.Now().Add(forwardLength)
+	for i := range forwardCallers {
+		wait.Go(func() {
+			own := call(client, fmt.Sprintf("%s/s/key%d", address, i), until, rate/forwardCallers)
+			mutex.Lock()
+			defer mutex.Unlock()
+			times = append(times, own...)
+		})
+	}
+	wait.Wait()
+	return float64(len(times)) / forwardLength.Seconds(), quantile(times, 0.99)
+}
+
+func call(client *http.Client, location string, until time.Time, rate float64) (times []time.Duration) {
+	next := time.Now()
+	for time.Now().Before(until) {
+		if rate > 0 {
+			time.Sleep(time.Until(next))
+			next = next.Add(time.Duration(float64(time.Second) / rate))
+		}
+		started := time.Now()
+		response, err := client.Get(location)
+		if err != nil {
+			continue
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			times = append(times, time.Since(started))
+		}
+	}
+	return times
+}
--- a/internal/shared/slice/slice.go
+++ b/internal/shared/slice/slice.go
@@ -38,6 +38,7 @@
 // Set is an immutable division of the hash space, ordered by start; the first slice starts at zero.
 type Set struct {
 	slices []Slice
+	digest uint64
 }
 
 // HashKey maps a key to its place in the hash space.
@@ -53,20 +54,27 @@
 	for i := range s {
 		s[i].Start = uint64(i) * width
 	}
-	return Set{slices: s}
+	return Set{slices: s, digest: digestOf(s)}
 }
 
 // FromSlices returns the set of the given slices, which must be ordered and start at zero.
 func FromSlices(s []Slice) (set Set, err error) {
+	if err = checkOrder(s); err != nil {
+		return Set{}, err
+	}
+	return Set{slices: s, digest: digestOf(s)}, nil
+}
+
+func checkOrder(s []Slice) error {
 	if len(s) == 0 || s[0].Start != 0 {
-		return Set{}, &ErrBadChange{Reason: "the first slice must start at 0"}
+		return &ErrBadChange{Reason: "the first slice must start at 0"}
 	}
 	for i := 1; i < len(s); i++ {
 		if s[i].Start <= s[i-1].Start {
-			return Set{}, &ErrBadChange{Reason: fmt.Sprintf("slice %d does not start after the one before", i)}
+			return &ErrBadChange{Reason: fmt.Sprintf("slice %d does not start after the one before", i)}
 		}
 	}
-	return Set{slices: s}, nil
+	return nil
 }
 
 // Len returns the number of slices.
@@ -119,32 +127,38 @@
 	ordered := slices.Clone(changes)
 	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].Slice.Start < ordered[j].Slice.Start })
 	merged := make([]Slice, 0, len(s.slices)+len(changes))
+	digest := s.digest
 	i := 0
 	for k, c := range ordered {
 		if k+1 < len(ordered) && ordered[k+1].Slice.Start == c.Slice.Start {
 			continue
 		}
-		for i < len(s.slices) && s.slices[i].Start < c.Slice.Start {
-			merged = append(merged, s.slices[i])
-			i++
-		}
+		untouched := sort.Search(len(s.slices)-i, func(k int) bool { return s.slices[i+k].Start >= c.Slice.Start })
+		merged = append(merged, s.slices[i:i+untouched]...)
+		i += untouched
 		if i < len(s.slices) && s.slices[i].Start == c.Slice.Start {
+			digest -= s.slices[i].digest()
 			i++
 		} else if c.Removed {
 			return Set{}, &ErrBadChange{Reason: "no slice starts where one is removed"}
 		}
 		if !c.Removed {
 			merged = append(merged, c.Slice)
+			digest += c.Slice.digest()
 		}
 	}
 	merged = append(merged, s.slices[i:]...)
-	return FromSlices(merged)
+	if len(merged) == 0 || merged[0].Start != 0 {
+		return Set{}, &ErrBadChange{Reason: "the first slice must start at 0"}
+	}
+	return Set{slices: merged, digest: digest}, nil
 }
 
-// Digest returns a checksum over all slices.
-func (s Set) Digest() uint64 {
-	var sum uint64
-	for _, e := range s.slices {
+// Digest returns a checksum over all slices, which Apply carries on from change to change.
+func (s Set) Digest() uint64 { return s.digest }
+
+func digestOf(slices []Slice) (sum uint64) {
+	for _, e := range slices {
 		sum += e.digest()
 	}
 	return sum
--- a/internal/shared/slice/slice_test.go
+++ b/internal/shared/slice/slice_test.go
@@ -31,6 +31,9 @@
 			}
 			set = next
 		}
+		if again, err := FromSlices(set.Slices()); err != nil || again.Digest() != set.Digest() {
+			t.Fatal("the digest carried on is not that of the slices")
+		}
 		hash := rapid.Uint64().Draw(t, "hash")
 		want := naive[0]
 		for start, s := range naive {
