--- a/internal/sample/trial/admission.go
+++ b/internal/sample/trial/admission.go
@@ -368,7 +368,7 @@
 // Admission writes the table of ways to share an upstream's slots.
 func Admission(out io.Writer) {
 	for _, entries := range []int{12, 680} {
-		fmt.Fprintf(out, "\n### %d entry hosts before one upstream with %d slots and %.0f requests/s\n\n", entries, admissionSlots, capacity)
+		fmt.Fprintf(out, "\n### Admission: %d entry hosts before one upstream with %d slots and %.0f requests/s\n\n", entries, admissionSlots, capacity)
 		fmt.Fprintln(out, "| load | way | goodput / capacity | p50 | p99 | turned away by upstream | dropped by queues, p50 wait | urgent in time | modest callers served |")
 		fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|")
 		for _, load := range []float64{0.5, 0.9, 1.5, 3} {
