state: plans and losses are applied in one go; homes count load

Worked out for a lost data centre at 2,000 upstreams and 128,000 slices: 285 drops and 18,000 assignments, each of which copied all slices (3 MB), some 10 s or more on every replica. Operations that do not depend on each other are now applied together, and drops come in one command; a differential test holds that against one plan per operation. Homes of all upstreams are found without hashing each pair of names.

Load was counted where callers arrive, so that at 128,000 slices each of 680 hosts would report a sketch of noise, 18 KB/s. The home of the owner sees all requests of its few upstreams and counts them exactly; it reports every 2 s.

--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -256,6 +256,17 @@
 			commands = append(commands, state.Command{DropEntry: &state.DropEntry{Name: name, Incarnation: l.incarnation}})
 		}
 	}
+	if numbers := k.lapsed(now, s); len(numbers) > 0 {
+		commands = append(commands, state.Command{DropUpstreams: &state.DropUpstreams{Numbers: numbers}})
+	}
+	if operations := k.finishable(now, s); len(operations) > 0 {
+		commands = append(commands, state.Command{Plan: &state.Plan{Operations: operations}})
+	}
+	return commands
+}
+
+// lapsed condemns the upstreams that have surely lost their lease and returns them.
+func (k *Keeper) lapsed(now time.Duration, s *state.State) (numbers []uint32) {
 	for _, u := range s.Upstreams() {
 		l := k.upstreams[u.Number]
 		if l == nil || l.condemned || now-l.renewedAt < k.terms.surelyOver() {
@@ -263,13 +274,10 @@
 		}
 		if u.ChecksFence || k.tableSettled(now, s, u) {
 			l.condemned = true
-			commands = append(commands, state.Command{DropUpstream: &state.DropUpstream{Number: u.Number}})
+			numbers = append(numbers, u.Number)
 		}
 	}
-	if operations := k.finishable(now, s); len(operations) > 0 {
-		commands = append(commands, state.Command{Plan: &state.Plan{Operations: operations}})
-	}
-	return commands
+	return numbers
 }
 
 // tableSettled reports whether no entry host can still send to an unchecking upstream: each of its slices is being
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -107,9 +107,11 @@
 
 func (g *Group) logDue(c state.Command) {
 	switch {
-	case c.DropUpstream != nil:
-		u, _ := g.state.Upstream(c.DropUpstream.Number)
-		g.options.Log.Write(events.UpstreamLost, zap.String("upstream", u.Name), zap.Uint64("incarnation", u.Incarnation))
+	case c.DropUpstreams != nil:
+		for _, number := range c.DropUpstreams.Numbers {
+			u, _ := g.state.Upstream(number)
+			g.options.Log.Write(events.UpstreamLost, zap.String("upstream", u.Name), zap.Uint64("incarnation", u.Incarnation))
+		}
 	case c.DropEntry != nil:
 		e, _ := g.state.Entry(c.DropEntry.Name)
 		g.lead.lost[e.Name] = lostEntry{host: e, at: g.now()}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -8,13 +8,13 @@
 
 // Command is one change of the state; exactly one field is set.
 type Command struct {
-	Publish      *Publish         `cbor:"1,keyasint,omitempty"`
-	JoinUpstream *table.Upstream  `cbor:"2,keyasint,omitempty"`
-	DropUpstream *DropUpstream    `cbor:"3,keyasint,omitempty"`
-	Drain        *Drain           `cbor:"4,keyasint,omitempty"`
-	JoinEntry    *table.EntryHost `cbor:"5,keyasint,omitempty"`
-	DropEntry    *DropEntry       `cbor:"6,keyasint,omitempty"`
-	Plan         *Plan            `cbor:"7,keyasint,omitempty"`
+	Publish       *Publish         `cbor:"1,keyasint,omitempty"`
+	JoinUpstream  *table.Upstream  `cbor:"2,keyasint,omitempty"`
+	DropUpstreams *DropUpstreams   `cbor:"3,keyasint,omitempty"`
+	Drain         *Drain           `cbor:"4,keyasint,omitempty"`
+	JoinEntry     *table.EntryHost `cbor:"5,keyasint,omitempty"`
+	DropEntry     *DropEntry       `cbor:"6,keyasint,omitempty"`
+	Plan          *Plan            `cbor:"7,keyasint,omitempty"`
 }
 
 // Publish replaces the set of service files if Base is still the version in force.
@@ -26,9 +26,9 @@
 	Files  []conf.File `cbor:"5,keyasint"`
 }
 
-// DropUpstream removes one incarnation of an upstream whose grants have surely ended.
-type DropUpstream struct {
-	Number uint32 `cbor:"1,keyasint"`
+// DropUpstreams removes incarnations of upstreams whose grants have surely ended.
+type DropUpstreams struct {
+	Numbers []uint32 `cbor:"1,keyasint"`
 }
 
 // Drain sets or ends the drain of an upstream; Self tells that the upstream asked for it.
--- a/internal/control/state/plan.go
+++ b/internal/control/state/plan.go
@@ -4,18 +4,52 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
 
+// batch gathers the changes of one service, as each application copies all slices; an operation that depends on a
+// change before it is preceded by a flush.
+type batch struct {
+	table   *serviceTable
+	changes []slice.Change
+	touched map[uint64]bool
+}
+
 // plan applies the operations in order; each sees the result of those before it.
 func (s *State) plan(p Plan) (err error) {
+	b := &batch{}
 	for _, o := range p.Operations {
 		t := s.table(o.Service)
 		if t == nil {
 			continue
 		}
-		if err = s.change(t, s.operate(t.set, o)); err != nil {
-			return err
+		reshapes := o.Kind == Split || o.Kind == Merge
+		if t != b.table || reshapes || b.touched[o.Start] {
+			if err = s.flush(b, t); err != nil {
+				return err
+			}
+		}
+		b.add(s.operate(t.set, o))
+		if reshapes {
+			if err = s.flush(b, t); err != nil {
+				return err
+			}
 		}
 	}
-	return nil
+	return s.flush(b, nil)
+}
+
+func (b *batch) add(changes []slice.Change) {
+	b.changes = append(b.changes, changes...)
+	for _, c := range changes {
+		b.touched[c.Slice.Start] = true
+	}
+}
+
+// flush applies what was gathered and starts anew for a table.
+func (s *State) flush(b *batch, next *serviceTable) (err error) {
+	if b.table != nil {
+		err = s.change(b.table, b.changes)
+	}
+	*b = batch{table: next, touched: map[uint64]bool{}}
+	return err
 }
 
 // operate returns the changes of one operation, or none where the slice is not as the proposer saw it.
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -77,8 +77,8 @@
 		return s.publish(*c.Publish), nil
 	case c.JoinUpstream != nil:
 		return s.joinUpstream(*c.JoinUpstream), nil
-	case c.DropUpstream != nil:
-		return s.dropUpstream(c.DropUpstream.Number)
+	case c.DropUpstreams != nil:
+		return Result{}, s.dropUpstreams(c.DropUpstreams.Numbers)
 	case c.Drain != nil:
 		return s.drain(*c.Drain), nil
 	case c.JoinEntry != nil:
@@ -261,31 +261,50 @@
 	}
 }
 
-// dropUpstream ends an incarnation: a slice it was handing over goes on to the next owner, the others lose theirs.
-func (s *State) dropUpstream(number uint32) (result Result, err error) {
-	i, ok := s.upstreamPosition(number)
-	if !ok {
-		return Result{Refused: "no such upstream"}, nil
+// dropUpstreams ends incarnations: a slice that one was handing over goes on to the next owner, the others lose theirs.
+func (s *State) dropUpstreams(numbers []uint32) (err error) {
+	var gone []uint32
+	for _, number := range numbers {
+		if i, ok := s.upstreamPosition(number); ok {
+			gone = append(gone, number)
+			s.upstreams = slices.Delete(s.upstreams, i, i+1)
+		}
+	}
+	if len(gone) == 0 {
+		return nil
 	}
-	t := s.table(s.upstreams[i].Service)
-	s.upstreams = slices.Delete(s.upstreams, i, i+1)
 	s.version, s.upstreamsAt = s.index, s.index
-	if t == nil {
-		return Result{}, nil
+	slices.Sort(gone)
+	for i := range s.tables {
+		if err = s.change(&s.tables[i], s.release(s.tables[i].set, gone)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// release returns the changes that take ended incarnations, which are in order, out of a service's slices.
+func (s *State) release(set slice.Set, gone []uint32) (changes []slice.Change) {
+	has := func(number uint32) bool {
+		_, found := slices.BinarySearch(gone, number)
+		return found
 	}
-	var changes []slice.Change
-	for _, e := range t.set.Slices() {
-		if e.Owner != number && e.Next != number {
+	for i := range set.Len() {
+		e := set.At(i)
+		if !has(e.Owner) && !has(e.Next) {
 			continue
 		}
-		if e.Owner == number {
-			e.Owner = e.Next
+		if has(e.Next) {
+			e.Next = 0
+		}
+		if has(e.Owner) {
+			e.Owner, e.Next = e.Next, 0
 		}
-		e.Next, e.Fence = 0, s.index
+		e.Fence = s.index
 		s.touchGrants(e.Owner)
 		changes = append(changes, slice.Change{Slice: e})
 	}
-	return Result{}, s.change(t, changes)
+	return changes
 }
 
 func (s *State) drain(d Drain) Result {
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -94,7 +94,7 @@
 	case 0, 1:
 		return join(fmt.Sprintf("u%d", rapid.IntRange(0, 3).Draw(t, "name")), n+1)
 	case 2:
-		return Command{DropUpstream: &DropUpstream{Number: number()}}
+		return Command{DropUpstreams: &DropUpstreams{Numbers: []uint32{number(), number()}}}
 	case 3, 4:
 		o.Kind = Assign
 	case 5:
@@ -112,7 +112,49 @@
 		}
 		return Command{Publish: &Publish{ID: fmt.Sprintf("20260102T150405.000Z-%04d", n+1), Base: b.state.Config().Version, Digest: Digest(files), Files: files}}
 	}
-	return Command{Plan: &Plan{Operations: []Operation{o}}}
+	operations := []Operation{o}
+	for i := 0; i < set.Len() && rapid.Bool().Draw(t, "more"); i++ {
+		e := set.At(i)
+		operations = append(operations, Operation{Kind: OperationKind(rapid.IntRange(1, 5).Draw(t, "kind")), Service: "s",
+			Start: e.Start, Fence: e.Fence, To: number(), At: e.Start + 1 + rapid.Uint64Range(0, 1<<58).Draw(t, "at")})
+	}
+	return Command{Plan: &Plan{Operations: operations}}
+}
+
+// TestBatchedPlanIsThePlanInOrder holds a plan of many operations against the same operations in plans of one.
+func TestBatchedPlanIsThePlanInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, single := newBench(), newBench()
+		for _, b := range []*bench{whole, single} {
+			b.publish(t, "20260102T150405.000Z-0000", 0, file("s", 8))
+			b.mustApply(t, join("a", 1))
+			b.mustApply(t, join("b", 1))
+		}
+		for range 10 {
+			set, _ := whole.state.Table("s")
+			var operations []Operation
+			for range rapid.IntRange(1, 12).Draw(t, "count") {
+				e := set.At(rapid.IntRange(0, set.Len()-1).Draw(t, "slice"))
+				operations = append(operations, Operation{Kind: OperationKind(rapid.IntRange(1, 5).Draw(t, "kind")), Service: "s",
+					Start: e.Start, Fence: e.Fence, To: uint32(rapid.IntRange(1, 2).Draw(t, "to")), At: e.Start + 1 + rapid.Uint64Range(0, 1<<59).Draw(t, "at")})
+			}
+			index := whole.index + 1
+			whole.mustApply(t, Command{Plan: &Plan{Operations: operations}})
+			for _, o := range operations {
+				single.index = index - 1
+				single.mustApply(t, Command{Plan: &Plan{Operations: []Operation{o}}})
+			}
+			if whole.state.Digest() != single.state.digestAnew() {
+				t.Fatalf("%+v\n%+v", whole.state.tables[0].set.Slices(), single.state.tables[0].set.Slices())
+			}
+		}
+	})
+}
+
+// digestAnew returns the digest without what was kept for the version.
+func (s *State) digestAnew() uint64 {
+	s.digestAt = 0
+	return s.Digest()
 }
 
 func (b *bench) checkFences(t *rapid.T, seen map[uint64]naive) {
@@ -199,7 +241,7 @@
 		c.Assert(set.At(0).Owner, qt.Equals, old)
 	})
 	c.Run("an old announcement does not come back", func(c *qt.C) {
-		b.mustApply(t, Command{DropUpstream: &DropUpstream{Number: old}})
+		b.mustApply(t, Command{DropUpstreams: &DropUpstreams{Numbers: []uint32{old}}})
 		c.Assert(b.mustApply(t, join("u", 5)).Refused, qt.Not(qt.Equals), "")
 	})
 }
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -20,7 +20,7 @@
 // Periods and bounds of the calls to control.
 const (
 	renewsPerLease   = 4
-	loadPeriod       = time.Second
+	loadPeriod       = 2 * time.Second
 	batchPause       = 5 * time.Millisecond
 	renewTry         = 250 * time.Millisecond
 	renewBound       = time.Second
--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -18,7 +18,7 @@
 
 // Observer hears of what requests meet.
 type Observer interface {
-	// Arrived counts a caller's request for a slice and a key.
+	// Arrived counts a request for a slice and a key at the owner's home, which sees all of them.
 	Arrived(service string, start, hash uint64)
 	// Seen counts an upstream's answer or failure.
 	Seen(upstream uint32, failed bool)
@@ -77,7 +77,6 @@
 		writeRefusal(w, bad)
 		return
 	}
-	h.options.Observer.Arrived(c.service.Name(), h.table.SliceStart(c.service.Name(), c.hash), c.hash)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	p := h.carry(ctx, c)
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -21,6 +21,7 @@
 
 // sendHere makes one try as the home of the owner.
 func (h *Handler) sendHere(ctx context.Context, c *call, target route.Target) *reply {
+	h.options.Observer.Arrived(c.service.Name(), h.table.SliceStart(c.service.Name(), c.hash), c.hash)
 	if c.handling.Idempotent || c.id == "" {
 		return h.queueAndForward(ctx, c, target)
 	}
--- a/internal/entry/tally/tally.go
+++ b/internal/entry/tally/tally.go
@@ -50,7 +50,7 @@
 	return t
 }
 
-// Arrived counts a caller's request for a slice and a key.
+// Arrived counts a request for a slice and a key at the owner's home.
 func (t *Tally) Arrived(service string, start, hash uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/sample/trial/capacity.go
+++ b/internal/sample/trial/capacity.go
@@ -42,6 +42,9 @@
 		return err
 	}
 	plans(out)
+	if err = losses(out); err != nil {
+		return err
+	}
 	if err = renewals(out); err != nil {
 		return err
 	}
@@ -223,6 +226,60 @@
 	row(out, "planning step, one upstream in seven lost", "slices", "µs", lost)
 }
 
+// losses measures how long the state takes to drop one upstream in seven and to give their slices away.
+func losses(out io.Writer) (err error) {
+	var points, bytes []point
+	for _, count := range []int{25000, 50000, 100000} {
+		took, size, err := lossOf(count)
+		if err != nil {
+			return err
+		}
+		points = append(points, point{float64(count), float64(took) / float64(time.Millisecond)})
+		bytes = append(bytes, point{float64(count), size})
+	}
+	row(out, "applying the loss of one upstream in seven", "slices", "ms", points)
+	row(out, "its delta to an entry host", "slices", "bytes", bytes)
+	return nil
+}
+
+// lossOf makes a service of 64 slices an upstream, loses one in seven and deals their slices to the others.
+func lossOf(count int) (took time.Duration, size float64, err error) {
+	s, index := state.New(), uint64(0)
+	apply := func(c state.Command) {
+		data, encodeErr := state.EncodeCommand(c)
+		index++
+		if _, applyErr := s.Apply(index, data); applyErr != nil || encodeErr != nil {
+			err = errors.New("a command of the trial was not applied")
+		}
+	}
+	file := conf.File{Name: "s", Text: fmt.Sprintf("[service]\nname = s\nprefix = /s\nkey = path:2\nslices = %d\n", count)}
+	apply(state.Command{Publish: &state.Publish{ID: "1", Files: []conf.File{file}}})
+	upstreams := count / 64
+	for i := range upstreams {
+		apply(state.Command{JoinUpstream: &table.Upstream{Name: fmt.Sprint("u", i), Incarnation: 1, Service: "s"}})
+	}
+	deal := func(first, among int) {
+		set, _ := s.Table("s")
+		plan := &state.Plan{}
+		for i, e := range set.Slices() {
+			if e.Owner == 0 {
+				plan.Operations = append(plan.Operations, state.Operation{Kind: state.Assign, Service: "s", Start: e.Start, Fence: e.Fence, To: uint32(first + i%among)})
+			}
+		}
+		apply(state.Command{Plan: plan})
+	}
+	deal(1, upstreams)
+	before, started := s.Version(), time.Now()
+	drop := &state.DropUpstreams{}
+	for n := 1; n <= upstreams/7; n++ {
+		drop.Numbers = append(drop.Numbers, uint32(n))
+	}
+	apply(state.Command{DropUpstreams: drop})
+	deal(upstreams/7+1, upstreams-upstreams/7)
+	took = time.Since(started)
+	return took, encodedBytes(s.DeltaSince(before, 0)), err
+}
+
 // control is one real control host in this process, served over loopback.
 type control struct {
 	group   *group.Group
--- a/internal/shared/slice/slice.go
+++ b/internal/shared/slice/slice.go
@@ -165,11 +165,12 @@
 }
 
 func (s Slice) digest() uint64 {
-	h := mix(s.Start ^ mix(s.Fence))
-	return mix(h ^ uint64(s.Owner)<<32 ^ uint64(s.Next))
+	h := Mix(s.Start ^ Mix(s.Fence))
+	return Mix(h ^ uint64(s.Owner)<<32 ^ uint64(s.Next))
 }
 
-func mix(x uint64) uint64 {
+// Mix spreads the bits of a number, so that numbers that differ little come out far apart.
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/internal/shared/table/view.go
+++ b/internal/shared/table/view.go
@@ -188,8 +188,9 @@
 
 func (v *View) findHomes() {
 	v.homes = make(map[uint32]EntryHost, len(v.upstreams))
+	ranked := rankEntries(v.entries)
 	for number, u := range v.upstreams {
-		if home, ok := HomeOf(v.entries, u); ok {
+		if home, ok := ranked.homeOf(u); ok {
 			v.homes[number] = home
 		}
 	}
@@ -198,14 +199,35 @@
 // HomeOf returns the home of an upstream among the entry hosts: the one with the highest rendezvous score, hosts of the
 // upstream's own data centre first.
 func HomeOf(entries []EntryHost, u Upstream) (home EntryHost, ok bool) {
-	var best uint64
-	near := false
-	for _, e := range entries {
-		same := e.DataCentre == u.DataCentre
-		score := slice.HashKey(e.Name + "\x00" + u.Name)
-		if !ok || same && !near || same == near && score > best {
-			home, ok, near, best = e, true, same, score
+	return rankEntries(entries).homeOf(u)
+}
+
+// rankedEntries are entry hosts with the hashes of their names.
+type rankedEntries struct {
+	entries []EntryHost
+	hashes  []uint64
+}
+
+func rankEntries(entries []EntryHost) rankedEntries {
+	r := rankedEntries{entries: entries, hashes: make([]uint64, len(entries))}
+	for i, e := range entries {
+		r.hashes[i] = slice.HashKey(e.Name)
+	}
+	return r
+}
+
+func (r rankedEntries) homeOf(u Upstream) (home EntryHost, ok bool) {
+	name := slice.HashKey(u.Name)
+	best, bestScore, near := -1, uint64(0), false
+	for i := range r.entries {
+		same := r.entries[i].DataCentre == u.DataCentre
+		score := slice.Mix(r.hashes[i] ^ name)
+		if best < 0 || same && !near || same == near && score > bestScore {
+			best, bestScore, near = i, score, same
 		}
 	}
-	return home, ok
+	if best < 0 {
+		return EntryHost{}, false
+	}
+	return r.entries[best], true
 }
