--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -73,7 +73,6 @@
 	entries int
 	checked int
 	blind   int
-	files   []conf.File
 }
 
 var worldFile = conf.File{Name: "frames.ebonyrill.ini", Text: "[service]\nname = frames\nprefix = /frames\nkey = path:2\nslices = 12\n"}
@@ -254,7 +253,6 @@
 	leaseEnd time.Duration
 	flights  map[uint64]int
 	life     int
-	askedAt  time.Duration
 }
 
 func (w *world) addEntry(i int) {
--- a/internal/ops/cmds/docs_test.go
+++ b/internal/ops/cmds/docs_test.go
@@ -53,7 +53,7 @@
 	pages, err := filepath.Glob("../../../docs/*.md")
 	c.Assert(err, qt.IsNil)
 	pages = append(pages, "../../../README.md")
-	line := regexp.MustCompile("(?m)^(?: {4,}|\\$ )(ebonyrilld?) ([a-z][a-z -]*)")
+	line := regexp.MustCompile(`(?m)^(?: {4,}|\$ )(ebonyrilld?) ([a-z][a-z -]*)`)
 	seen := 0
 	for _, page := range pages {
 		text, err := os.ReadFile(page)
