sample: lease, grant and deadline are checked again right before the effect

One of some twelve runs of TestFrozenProcessesBreakNoPromise saw a key with two owners (the first make test of a clean clone). Cause: the sample upstream checked a request when it began; frozen in the middle, it finished when it woke, after the key had gone on. The verdict now tells one clash.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -47,6 +47,7 @@
 mutant newLeaderWaits $grant/keeper.go 'upstreamLease{renewedAt: now, healthy: true}' 'upstreamLease{renewedAt: now - time.Hour, healthy: true}' $grant TestNewLeaderTreatsLeasesAsLive
 mutant ackBeforeMove $grant/keeper.go 'l.held < h.needHeld && now-l.renewedAt' 'false && now-l.renewedAt' $grant TestMoveWaitsForTheOldOwner
 mutant ackBeforeMoveInWorld $grant/keeper.go 'l.held < h.needHeld && now-l.renewedAt' 'false && now-l.renewedAt' $group TestSoakOwnership
+mutant effectCheck internal/sample/owner/owner.go "if time.Now().UnixMilli() >= deadline || u.options.ChecksFence && !u.grants.Holds(hash, fence, time.Now()) {" "if false {" internal/sample/owner TestEffectIsCheckedAgain
 mutant entriesPast $grant/keeper.go 'return owner.ChecksFence || k.entriesPast(now, h.needTable)' 'return owner.ChecksFence || true' $grant TestUncheckedOwnerIsWaitedForAtEntryHosts
 mutant ghosts $grant/keeper.go 'if now < k.ghostsGone {' 'if false {' $grant TestUncheckedOwnerIsWaitedForAtEntryHosts
 mutant condemned $grant/keeper.go 'if u.Incarnation != a.Incarnation || l == nil || l.condemned {' 'if u.Incarnation != a.Incarnation || l == nil {' $grant TestCondemnedUpstreamIsNotRenewed
--- a/internal/ops/daemon/process_test.go
+++ b/internal/ops/daemon/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -274,16 +275,17 @@
 
 func TestFrozenProcessesBreakNoPromise(t *testing.T) {
 	k := mustCluster(t)
-	k.startUpstream("lists9", "listesvc", "--unchecked")
-	k.awaitSettled(7)
+	k.startUpstream("lists9", "listesvc", "--unchecked", "--work", "100ms")
+	k.startUpstream("frame9", "frameRegister", "--work", "100ms")
+	k.awaitSettled(8)
 	k.underLoad(14*time.Second, func() {
-		for _, name := range []string{"frame1", "lists9", "host3", fmt.Sprintf("host%d", k.leaderIndex())} {
+		for _, name := range []string{"frame9", "lists9", "host3", fmt.Sprintf("host%d", k.leaderIndex())} {
 			k.signal(name, syscall.SIGSTOP)
 			time.Sleep(2500 * time.Millisecond)
 			k.signal(name, syscall.SIGCONT)
 		}
 	})
-	k.awaitSettled(7)
+	k.awaitSettled(8)
 }
 
 func TestLostDiskThenSecondLoss(t *testing.T) {
@@ -332,3 +334,69 @@
 	again := k.must("publish", "--base", base, "--id", fmt.Sprintf("20260102T150405.000Z-race%d", won), "../../../_fixtures/services")
 	k.c.Assert(again, qt.Contains, "accepted as version")
 }
+
+// TestFreezeInMidRequest freezes an upstream with a request half done, lets the key go to another that runs a second
+// request, and wakes the first: what it had begun must have no effect.
+func TestFreezeInMidRequest(t *testing.T) {
+	for _, mode := range []string{"checked", "unchecked"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			k := mustCluster(t)
+			args := []string{"--work", "400ms"}
+			if mode == "unchecked" {
+				args = append(args, "--unchecked")
+			}
+			k.startUpstream("frame9", "frameRegister", args...)
+			k.awaitSettled(7)
+			key := k.keyOf("frame9")
+			go func() { _ = k.closure(key, "first") }()
+			time.Sleep(150 * time.Millisecond)
+			k.signal("frame9", syscall.SIGSTOP)
+			tries := 0
+			k.eventually("another owner", func() bool {
+				tries++
+				return k.closure(key, fmt.Sprint("second", tries)) == "done"
+			})
+			k.signal("frame9", syscall.SIGCONT)
+			time.Sleep(time.Second)
+			names, err := filepath.Glob(filepath.Join(k.folder, "*.journal"))
+			k.c.Assert(err, qt.IsNil)
+			executions, err := drive.ReadJournals(names)
+			k.c.Assert(err, qt.IsNil)
+			v := drive.Verify(drive.Result{}, executions)
+			k.c.Assert(v.Broken(), qt.IsFalse, qt.Commentf("%+v", v))
+		})
+	}
+}
+
+// keyOf returns a key that the upstream owns, once balance has given it some.
+func (k *cluster) keyOf(upstream string) (key string) {
+	k.c.Helper()
+	k.eventually("a key of "+upstream, func() bool {
+		for i := range 40 {
+			key = fmt.Sprintf("key%d", i)
+			out, err := k.command("--json", "owners", "--service", "frameRegister", key)
+			if err == nil && strings.Contains(out, `"owner": "`+upstream+`"`) {
+				return true
+			}
+		}
+		return false
+	})
+	return key
+}
+
+// closure closes a frame by way of the last entry host and returns the outcome.
+func (k *cluster) closure(key, id string) string {
+	r, err := http.NewRequest(http.MethodPost, "http://"+k.host[3].callers+"/frames/"+key+"/closure", strings.NewReader("x"))
+	if err != nil {
+		return err.Error()
+	}
+	r.Header.Set("Ebonyrill-Request-Id", id)
+	r.Header.Set("Ebonyrill-Attempt", "1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	_ = response.Body.Close()
+	return response.Header.Get("Ebonyrill-Outcome")
+}
--- a/internal/sample/drive/verify.go
+++ b/internal/sample/drive/verify.go
@@ -39,6 +39,7 @@
 	Unavailable  time.Duration  `json:"longestUnavailable"`
 	RunTwice     int            `json:"runTwice"`
 	TwoOwners    int            `json:"twoOwners"`
+	Clash        string         `json:"clash,omitempty"`
 	FalseNotRun  int            `json:"falseNotRun"`
 	NotOwnAnswer int            `json:"notOwnAnswer"`
 	LostWrites   int            `json:"doneButNotRun"`
@@ -93,7 +94,7 @@
 	}
 	v.P50 = time.Duration(histogram.ValueAtQuantile(50)) * time.Microsecond
 	v.P99 = time.Duration(histogram.ValueAtQuantile(99)) * time.Microsecond
-	v.TwoOwners = twoOwners(executions)
+	v.TwoOwners, v.Clash = twoOwners(executions)
 	v.MaxOverMean = maxOverMean(executions)
 	v.Unavailable = longestUnavailable(r)
 	return v
@@ -121,33 +122,36 @@
 	}
 }
 
-// twoOwners counts the keys that two upstreams ran at once, or that an older fence touched after a newer one had.
-func twoOwners(executions []Execution) (count int) {
+// twoOwners counts the keys that two upstreams ran at once, or that an older fence touched after a newer one had, and
+// tells of one such case.
+func twoOwners(executions []Execution) (count int, example string) {
 	byKey := map[string][]Execution{}
 	for _, e := range executions {
 		name := e.Service + "/" + e.Key
 		byKey[name] = append(byKey[name], e)
 	}
-	for _, list := range byKey {
+	for name, list := range byKey {
 		slices.SortFunc(list, func(a, b Execution) int { return cmp.Compare(a.Started, b.Started) })
-		if clash(list) {
+		if first, second, found := clash(list); found {
 			count++
+			example = fmt.Sprintf("%s: %+v, then %+v", name, first, second)
 		}
 	}
-	return count
+	return count, example
 }
 
-func clash(list []Execution) bool {
+// clash returns two executions that cannot both be by the owner.
+func clash(list []Execution) (first, second Execution, found bool) {
 	last := list[0]
 	for _, e := range list[1:] {
 		if e.Upstream != last.Upstream && (e.Started < last.Ended || e.Fence <= last.Fence) {
-			return true
+			return last, e, true
 		}
 		if e.Upstream != last.Upstream || e.Ended > last.Ended {
 			last = e
 		}
 	}
-	return false
+	return first, second, false
 }
 
 func maxOverMean(executions []Execution) float64 {
--- a/internal/sample/owner/grants.go
+++ b/internal/sample/owner/grants.go
@@ -80,6 +80,14 @@
 	return g.track(hash, fence), true
 }
 
+// Holds reports whether the hash is held with the fence now.
+func (g *Grants) Holds(hash, fence uint64, now time.Time) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	current, found := g.find(hash)
+	return found && current == fence && now.Before(g.leaseEnd)
+}
+
 // BeginUnchecked lets a request run whatever its fence, as an upstream that checks nothing does.
 func (g *Grants) BeginUnchecked(hash, fence uint64) (end func()) {
 	g.mutex.Lock()
--- a/internal/sample/owner/owner.go
+++ b/internal/sample/owner/owner.go
@@ -176,6 +176,11 @@
 		return
 	}
 	defer end()
+	time.Sleep(u.options.Work)
+	if time.Now().UnixMilli() >= deadline || u.options.ChecksFence && !u.grants.Holds(hash, fence, time.Now()) {
+		refuse(w, relay.ReasonFence)
+		return
+	}
 	u.work(w, r, fence, body)
 }
 
@@ -186,10 +191,10 @@
 	return u.grants.BeginUnchecked(hash, fence), true
 }
 
-// work does what a request asks for and notes it in the journal.
+// work does what a request asks for and notes it in the journal; deadline and grant were checked right before it, as the
+// process may have been frozen since the request began.
 func (u *Owner) work(w http.ResponseWriter, r *http.Request, fence uint64, body []byte) {
 	started := time.Now()
-	time.Sleep(u.options.Work)
 	key := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	name := ""
 	if len(key) > 1 {
