--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -42,8 +42,6 @@
 	sequence  uint64
 	held      uint64
 	condemned bool
-	healthy   bool
-	load      float64
 }
 
 // entryLease is what the leader knows of one entry host.
@@ -94,7 +92,7 @@
 func (k *Keeper) Follow(now time.Duration, s *state.State) {
 	for _, u := range s.Upstreams() {
 		if k.upstreams[u.Number] == nil {
-			k.upstreams[u.Number] = &upstreamLease{renewedAt: now, healthy: true}
+			k.upstreams[u.Number] = &upstreamLease{renewedAt: now}
 		}
 	}
 	for number := range k.upstreams {
@@ -166,7 +164,8 @@
 	return r.Applied >= l.joinedAt
 }
 
-// RenewUpstream renews an upstream's lease and returns its grants where they are not those it holds.
+// RenewUpstream renews an upstream's lease and returns its grants where they are not those it holds. What the upstream
+// says of its own health and load is not read, as it may lag or mislead.
 func (k *Keeper) RenewUpstream(now time.Duration, s *state.State, a table.Announcement) (g table.GrantAnswer) {
 	g = table.GrantAnswer{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Status: table.GrantStale}
 	u, ok := s.UpstreamNamed(a.Name)
@@ -185,7 +184,6 @@
 		return g
 	}
 	l.renewedAt, l.sequence, l.held = now, a.Sequence, max(l.held, a.Held)
-	l.healthy, l.load = a.Healthy, a.Load
 	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, k.terms.lease.Milliseconds(), u.GrantsVersion
 	g.Draining = s.Drained(u)
 	if a.Held != u.GrantsVersion {
@@ -223,12 +221,6 @@
 	return l != nil && !l.condemned && now-l.renewedAt < k.terms.lease/2
 }
 
-// Healthy reports what the upstream last said of its own health; it may lag or mislead.
-func (k *Keeper) Healthy(number uint32) bool {
-	l := k.upstreams[number]
-	return l != nil && l.healthy
-}
-
 // EntryLive reports whether the entry host's lease may still be running.
 func (k *Keeper) EntryLive(now time.Duration, name string) bool {
 	l := k.entries[name]
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -36,6 +36,7 @@
 	joining   map[string]uint64
 	health    *place.Health
 	moved     float64
+	avoided   map[uint32]bool
 }
 
 // serviceDuty is what the leader keeps for one service.
@@ -70,7 +71,7 @@
 func newLead(term uint64, terms grant.Terms, now time.Duration, s *state.State) *lead {
 	l := &lead{term: term, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
 		upstreams: map[uint32]*upstreamNote{}, lost: map[string]lostEntry{},
-		joining: map[string]uint64{}, health: place.NewHealth()}
+		joining: map[string]uint64{}, health: place.NewHealth(), avoided: map[uint32]bool{}}
 	for _, u := range s.Upstreams() {
 		l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: settledAge}
 	}
@@ -99,12 +100,26 @@
 	if g.state.Index() < l.pending {
 		return
 	}
-	if operations := l.plan(now, g.state); len(operations) > 0 {
+	operations := l.plan(now, g.state)
+	g.logAvoided()
+	if len(operations) > 0 {
 		g.options.Log.Write(events.SlicesPlanned, zap.Int("operations", len(operations)))
 		g.proposeDuty(state.Command{Plan: &state.Plan{Operations: operations}})
 	}
 }
 
+// logAvoided tells of upstreams that began to be avoided.
+func (g *Group) logAvoided() {
+	for number, told := range g.lead.avoided {
+		if told {
+			continue
+		}
+		g.lead.avoided[number] = true
+		u, _ := g.state.Upstream(number)
+		g.options.Log.Write(events.UpstreamAvoided, zap.String("upstream", u.Name))
+	}
+}
+
 func (g *Group) logDue(c state.Command) {
 	switch {
 	case c.DropUpstreams != nil:
@@ -247,17 +262,10 @@
 		if u.Service != service {
 			continue
 		}
-		m := place.Ready
-		switch {
-		case !l.keeper.Live(now, u.Number) && !u.ChecksFence:
-			m = place.Gone
-		case s.Drained(u):
-			m = place.Leaving
-		case l.health.Failing(now, u.Number) && float64(avoided+1) <= ejectShare*float64(total):
+		m := l.memberState(now, s, u)
+		if m == place.Ready && float64(avoided+1) <= ejectShare*float64(total) && l.avoid(now, u.Number) {
 			m = place.Leaving
 			avoided++
-		case !l.keeper.Fresh(now, u.Number):
-			m = place.Silent
 		}
 		note := l.upstreams[u.Number]
 		members = append(members, place.NewMember(u.Number, float64(u.Slots), m, note.joinedAt, l.flaps(u.Name)))
@@ -265,6 +273,31 @@
 	return members
 }
 
+func (l *lead) memberState(now time.Duration, s *state.State, u table.Upstream) place.MemberState {
+	switch {
+	case !l.keeper.Live(now, u.Number) && !u.ChecksFence:
+		return place.Gone
+	case s.Drained(u):
+		return place.Leaving
+	case !l.keeper.Fresh(now, u.Number):
+		return place.Silent
+	}
+	return place.Ready
+}
+
+// avoid reports whether the upstream fails its requests, and notes when that begins or ends.
+func (l *lead) avoid(now time.Duration, number uint32) bool {
+	if !l.health.Failing(now, number) {
+		delete(l.avoided, number)
+		return false
+	}
+	_, noted := l.avoided[number]
+	if !noted {
+		l.avoided[number] = false
+	}
+	return true
+}
+
 func (l *lead) flaps(name string) (n int) {
 	for _, x := range l.losses {
 		if x.name == name {
--- a/internal/shared/wire/wire.go
+++ b/internal/shared/wire/wire.go
@@ -125,12 +125,6 @@
 	return connect.CodeUnknown
 }
 
-// IsCode reports whether the error carries the code.
-func IsCode(err error, code connect.Code) bool {
-	var e *connect.Error
-	return errors.As(err, &e) && e.Code() == code
-}
-
 // ErrVersion is returned to a caller that speaks another version of the messages.
 type ErrVersion struct {
 	Found string
--- a/internal/shared/wire/wire_test.go
+++ b/internal/shared/wire/wire_test.go
@@ -22,6 +22,7 @@
 
 	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 )
 
 // ping is a message of these tests.
@@ -102,6 +103,11 @@
 func (*refusal) Error() string      { return "no" }
 func (*refusal) Code() connect.Code { return connect.CodeFailedPrecondition }
 
+func isCode(err error, code connect.Code) bool {
+	var e *connect.Error
+	return errors.As(err, &e) && e.Code() == code
+}
+
 func TestLeadersRefusalIsFinal(t *testing.T) {
 	c := qt.New(t)
 	var calls atomic.Int64
@@ -112,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	_, err := CallLeader[ping, ping](ctx, NewHosts(NewClient(nil), []string{address}), time.Second, procedure, &ping{})
-	c.Assert(IsCode(err, connect.CodeFailedPrecondition), qt.IsTrue)
+	c.Assert(isCode(err, connect.CodeFailedPrecondition), qt.IsTrue)
 	c.Assert(calls.Load(), qt.Equals, int64(1))
 }
 
@@ -155,7 +161,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	_, err = Call[ping, ping](ctx, client, l.Addr().String(), procedure, &ping{})
 	cancel()
-	c.Assert(IsCode(err, connect.CodeDeadlineExceeded), qt.IsTrue)
+	c.Assert(isCode(err, connect.CodeDeadlineExceeded), qt.IsTrue)
 	silent.Store(false)
 	_, err = call(l.Addr().String(), client)
 	c.Assert(err, qt.IsNil)
