--- a/_scripts/demo.sh
+++ b/_scripts/demo.sh
@@ -82,7 +82,13 @@
 sleep 4
 say "restarting $victim on its data folder"
 start "$victim" "$bin/ebonyrilld" run --settings "$work/$victim.ini"
+say "draining lists2 and letting it back"
+"$bin/ebonyrill" drain lists2 2>/dev/null
+"$bin/ebonyrill" undrain lists2
 wait "$load"
+"$bin/ebonyrill" diff _fixtures/services
+"$bin/ebonyrill" owners --service frameRegister k1
+"$bin/ebonyrill" report burn
 "$bin/ebonyrill" status --json >"$work/status.json"
 "$bin/ebonyrill" status
 "$bin/ebonyrill-load" verify --result "$work/result.json" --journals "$work/*.journal" --status "$work/status.json"
