--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -6,10 +6,10 @@
 trap 'rm -rf "$copy"' EXIT
 git ls-files -z | xargs -0 tar -cf - | tar -xf - -C "$copy"
 survivors=0
-only="${1:-}"
+only=" $* "
 
 mutant() { # NAME FILE FROM TO PACKAGE TEST
-  [ -n "$only" ] && [ "$only" != "$1" ] && return
+  [ "$only" != "  " ] && [[ "$only" != *" $1 "* ]] && return
   cp "$2" "$copy/$2"
   if ! python3 - "$copy/$2" "$3" "$4" <<'PY'
 import sys
@@ -23,7 +23,7 @@
     survivors=$((survivors + 1))
     return
   fi
-  if (cd "$copy" && EBONYRILL_SOAK_SEEDS="${SEEDS:-150}" go test -count=1 -timeout 120s -run "$6" "./$5" >"$copy/out" 2>&1); then
+  if (cd "$copy" && EBONYRILL_SOAK_SEEDS="${SEEDS:-150}" go test -count=1 -timeout 60s -run "$6" "./$5" >"$copy/out" 2>&1); then
     echo "SURVIVED $1: $6 passes without the mechanism"
     survivors=$((survivors + 1))
   elif grep -q -e '--- FAIL' -e '^panic' "$copy/out"; then
@@ -44,7 +44,7 @@
 mutant lateJoinLease $grant/keeper.go 'return r.Applied >= l.joinedAt' 'return true' $grant TestLeaseNeedsATableAsNewAsTheJoin
 mutant wholeLease $grant/keeper.go 'return t.lease + t.lease*driftNumerator/driftDenominator' 'return t.lease / 2' $grant TestLostOwnerIsWaitedOutForAWholeLease
 mutant wholeLeaseInWorld $grant/keeper.go 'return t.lease + t.lease*driftNumerator/driftDenominator' 'return t.lease / 3' $group TestSoakOwnership
-mutant newLeaderWaits $grant/keeper.go 'upstreamLease{renewedAt: now, healthy: true}' 'upstreamLease{renewedAt: now - time.Hour, healthy: true}' $grant TestNewLeaderTreatsLeasesAsLive
+mutant newLeaderWaits $grant/keeper.go '&upstreamLease{renewedAt: now}' '&upstreamLease{renewedAt: now - time.Hour}' $grant TestNewLeaderTreatsLeasesAsLive
 mutant ackBeforeMove $grant/keeper.go 'l.held < h.needHeld && now-l.renewedAt' 'false && now-l.renewedAt' $grant TestMoveWaitsForTheOldOwner
 mutant ackBeforeMoveInWorld $grant/keeper.go 'l.held < h.needHeld && now-l.renewedAt' 'false && now-l.renewedAt' $group TestSoakOwnership
 mutant effectCheck internal/sample/owner/owner.go "if time.Now().UnixMilli() >= deadline || u.options.ChecksFence && !u.grants.Holds(hash, fence, time.Now()) {" "if false {" internal/sample/owner TestEffectIsCheckedAgain
@@ -68,7 +68,7 @@
 mutant mergeFence internal/control/state/plan.go 'e.Fence = s.index
 		s.touchGrants(e.Owner)' 's.touchGrants(e.Owner)' internal/control/state TestFencesOnlyGrow
 mutant growingVersions internal/shared/table/view.go 'if d.To < v.version || (!d.Full && d.From != v.version) {' 'if false {' internal/entry/route TestOnlyNewerAndWholeTablesAreTaken
-mutant replayOff $relay/here.go 'Body: opaqueBody{bytes.NewReader(c.body)}}' 'Body: http.NoBody}' $relay TestNonIdempotent
+mutant replayOff $relay/here.go 'Body: opaqueBody{bytes.NewReader(c.body)}}' 'Body: io.NopCloser(bytes.NewReader(c.body)), GetBody: func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.body)), nil }}' $relay TestNonIdempotentOnClosedIdleConnection
 mutant unknownIsNotRetried $relay/handler.go 'return c.handling.Idempotent && p.reason != ReasonAmbiguous' 'return true' $relay TestNonIdempotentRunsAtMostOnce
 mutant notRunProof $relay/here.go 'if !sent.Any() {' 'if true {' $relay TestNonIdempotentRunsAtMostOnce
 mutant sameIdOnce internal/entry/guard/guard.go 'if r = g.records[id]; r != nil {' 'if r = g.records[id]; false {' $relay TestRequestIDRunsOnce
@@ -78,7 +78,7 @@
 mutant brokenOnTruncation $relay/handler.go 'panic(http.ErrAbortHandler)' 'return' $relay TestLongAnswerCutShort
 mutant tracking $relay/here.go 'if p.outcome == Unknown && !target.Upstream().ChecksFence {' 'if false {' $relay TestRequestThatMayLieInASocket
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
-mutant provenConnections $relay/upstream.go 'provenIdle       = 500 * time.Millisecond' 'provenIdle       = 50 * time.Second' $relay 'TestSilentConnectionsToUpstream/closure_after'
+mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnectionsToUpstream/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
 mutant turns internal/entry/admit/queue.go 'l.lanes = append(l.lanes, a)
--- a/internal/entry/relay/fixture_test.go
+++ b/internal/entry/relay/fixture_test.go
@@ -26,7 +26,7 @@
 prefix = /frames
 key = path:2
 caller = header:X-Caller
-deadline = 900ms
+deadline = 1800ms
 resendWindow = 10s
 [request closure]
 method = POST
--- a/internal/entry/relay/once_test.go
+++ b/internal/entry/relay/once_test.go
@@ -20,7 +20,7 @@
 
 func hangUp(conn net.Conn, _ *http.Request) { _ = conn.Close() }
 
-func silence(net.Conn, *http.Request) { time.Sleep(1500 * time.Millisecond) }
+func silence(net.Conn, *http.Request) { time.Sleep(2500 * time.Millisecond) }
 
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
 	cases := []struct {
--- a/internal/shared/wire/wire_test.go
+++ b/internal/shared/wire/wire_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,47 +123,73 @@
 	c.Assert(calls.Load(), qt.Equals, int64(1))
 }
 
-// TestSilentConnectionCostsOneCall puts a call on a connection that went silent; the next one dials anew.
+// silencer passes connections on; those made before a silence lose all that goes over them from then on.
+type silencer struct {
+	made   atomic.Int64
+	silent atomic.Int64
+}
+
+func (s *silencer) serve(l net.Listener, target string) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", target)
+		if err != nil {
+			return
+		}
+		number := s.made.Add(1)
+		go s.pass(far, conn, number)
+		go s.pass(conn, far, number)
+	}
+}
+
+func (s *silencer) pass(to, from net.Conn, number int64) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if number > s.silent.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+// TestSilentConnectionCostsOneCall puts a call on one of several connections that went silent; the next one dials anew.
 func TestSilentConnectionCostsOneCall(t *testing.T) {
 	c := qt.New(t)
-	var silent atomic.Bool
-	target := mustServe(c, echo)
+	var together sync.WaitGroup
+	together.Add(2)
+	target := mustServe(c, func(ctx context.Context, p *ping) (*ping, error) {
+		if p.Text == "together" {
+			together.Done()
+			together.Wait()
+		}
+		return echo(ctx, p)
+	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			far, _ := net.Dial("tcp", target)
-			pass := func(to, from net.Conn) {
-				buffer := make([]byte, 4096)
-				for {
-					n, err := from.Read(buffer)
-					if err != nil {
-						_ = to.Close()
-						return
-					}
-					if !silent.Load() {
-						_, _ = to.Write(buffer[:n])
-					}
-				}
-			}
-			go pass(far, conn)
-			go pass(conn, far)
-		}
-	}()
+	s := &silencer{}
+	go s.serve(l, target)
 	client := NewClient(nil)
-	_, err = call(l.Addr().String(), client)
-	c.Assert(err, qt.IsNil)
-	silent.Store(true)
+	var wait sync.WaitGroup
+	for range 2 {
+		wait.Go(func() {
+			_, err := Call[ping, ping](context.Background(), client, l.Addr().String(), procedure, &ping{Text: "together"})
+			c.Check(err, qt.IsNil)
+		})
+	}
+	wait.Wait()
+	s.silent.Store(s.made.Load())
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	_, err = Call[ping, ping](ctx, client, l.Addr().String(), procedure, &ping{})
 	cancel()
 	c.Assert(isCode(err, connect.CodeDeadlineExceeded), qt.IsTrue)
-	silent.Store(false)
 	_, err = call(l.Addr().String(), client)
 	c.Assert(err, qt.IsNil)
 }
