--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: build test lint demo soak bench measure capacity mutants
 
 build:
-	$(GO) build -o bin ./cmd/...
+	$(GO) build -o bin/ ./cmd/...
 
 lint:
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: the files above are not formatted"; exit 1; }
