--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -41,13 +41,13 @@
 
 // serviceDuty is what the leader keeps for one service.
 type serviceDuty struct {
-	policy  *place.Weighted
-	loads   *place.Loads
-	planAt  time.Duration
-	orphans int
-	owned   map[uint32]int
-	readyAt time.Duration
-	virgin  bool
+	policy     *place.Weighted
+	loads      *place.Loads
+	planAt     time.Duration
+	orphans    int
+	owned      map[uint32]int
+	readyAt    time.Duration
+	neverOwned bool
 }
 
 // upstreamNote is what the leader remembers of an upstream.
@@ -205,7 +205,7 @@
 				d.owned[e.Owner]++
 			}
 		}
-		d.virgin = d.orphans == set.Len()
+		d.neverOwned = d.orphans == set.Len()
 	}
 }
 
@@ -240,7 +240,7 @@
 		d.readyAt = now
 		return false
 	}
-	if d.virgin && now-d.readyAt < gatherPeriod {
+	if d.neverOwned && now-d.readyAt < gatherPeriod {
 		return false
 	}
 	urgent := d.orphans > 0 || slices.ContainsFunc(members, func(m place.Member) bool {
--- a/internal/entry/relay/headers.go
+++ b/internal/entry/relay/headers.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// HeaderHop marks a caller's request that another entry host passes on, and its answer.
+const HeaderHop = "Ebonyrill-Hop"
+
 // Headers of callers, upstreams and entry hosts.
 const (
 	HeaderRequestID = "Ebonyrill-Request-Id"
@@ -17,7 +20,6 @@
 	HeaderKeyHash   = "Ebonyrill-Key-Hash"
 	HeaderDeadline  = "Ebonyrill-Deadline"
 	HeaderAttemptID = "Ebonyrill-Attempt-Id"
-	headerHop       = "Ebonyrill-Hop"
 	headerService   = "Ebonyrill-Service"
 	headerCaller    = "Ebonyrill-Caller"
 	headerVersion   = "Ebonyrill-Version"
--- a/internal/entry/relay/hop.go
+++ b/internal/entry/relay/hop.go
@@ -58,7 +58,7 @@
 	}
 	location.Scheme, location.Host = h.options.Scheme, target.Home().Address
 	header := passedOn(c.header)
-	header.Set(headerHop, "1")
+	header.Set(HeaderHop, "1")
 	header.Set(headerService, c.service.Name())
 	header.Set(headerCaller, c.caller)
 	header.Set(headerVersion, strconv.FormatUint(target.Version(), 10))
@@ -78,7 +78,7 @@
 	outcome := Outcome(response.Header.Get(HeaderOutcome))
 	reason := Reason(response.Header.Get(HeaderReason))
 	version, _ := strconv.ParseUint(response.Header.Get(headerVersion), 10, 64)
-	if outcome != Done && response.Header.Get(headerHop) == "" {
+	if outcome != Done && response.Header.Get(HeaderHop) == "" {
 		cancel()
 		_ = response.Body.Close()
 		return unknown(ReasonBroken)
@@ -99,7 +99,7 @@
 
 // ServeHop answers a request that another entry host sent here as the owner's home.
 func (h *Handler) ServeHop(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerHop, "1")
+	w.Header().Set(HeaderHop, "1")
 	body, whole, err := h.readBody(w, r)
 	if err != nil || !whole {
 		writeRefusal(w, &errBadCall{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
--- a/internal/entry/relay/whole_test.go
+++ b/internal/entry/relay/whole_test.go
@@ -145,7 +145,7 @@
 
 func TestCallersCannotSetFences(t *testing.T) {
 	f, _ := withUpstream(t, func(conn net.Conn, r *http.Request) { answer(conn, r, r.Header.Get(HeaderFence)) })
-	g := f.do("POST", "/frames/k/closure", HeaderFence, "999", HeaderKeyHash, "1", headerHop, "1")
+	g := f.do("POST", "/frames/k/closure", HeaderFence, "999", HeaderKeyHash, "1", HeaderHop, "1")
 	f.c.Assert(g.body, qt.Equals, "7")
 }
 
--- a/internal/ops/daemon/peers.go
+++ b/internal/ops/daemon/peers.go
@@ -4,14 +4,12 @@
 	"context"
 	"net/http"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
-// hopHeader marks a caller's request that another entry host passes on.
-const hopHeader = "Ebonyrill-Hop"
-
 // peerHandler serves calls of other daemons and of operators, and requests that other entry hosts pass on.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -23,7 +21,7 @@
 	}
 	hops := d.counted(http.HandlerFunc(d.relay.ServeHop))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(hopHeader) != "" {
+		if r.Header.Get(relay.HeaderHop) != "" {
 			hops.ServeHTTP(w, r)
 			return
 		}
