daemon: complaints of HTTP servers become numbered events

A peer that spoke plain text to the TLS port was refused, but only net/http's own line on stderr said so (seen by hand with three daemons under TLS).

--- /dev/null
+++ b/internal/ops/daemon/complaints_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+)
+
+// TestPlainTextPeerIsANumberedEvent sends plain text to a TLS server whose complaints become events.
+func TestPlainTextPeerIsANumberedEvent(t *testing.T) {
+	c := qt.New(t)
+	file := filepath.Join(c.TempDir(), "log")
+	out, err := os.Create(file)
+	c.Assert(err, qt.IsNil)
+	stderr := os.Stderr
+	os.Stderr = out
+	log, err := events.New("info", "", "h")
+	os.Stderr = stderr
+	c.Assert(err, qt.IsNil)
+	d := &Daemon{log: log}
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.Config.ErrorLog = d.serverLog()
+	server.StartTLS()
+	response, err := http.Get("http://" + server.Listener.Addr().String())
+	if err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	server.Close()
+	text, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Contains, `"event":1101`)
+	c.Assert(string(text), qt.Contains, "TLS handshake error")
+}
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -113,6 +113,9 @@
 		IdleTimeout: callerIdle, MaxHeaderBytes: d.settings.MaxHeaderBytes()}
 	d.peers = &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	for _, server := range []*http.Server{d.callers, d.peers, d.admin} {
+		server.ErrorLog = d.serverLog()
+	}
 	if d.security != nil {
 		d.peers.TLSConfig = d.security.ServerConfig()
 	}
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -50,6 +50,7 @@
 	PlainText        = event(1007, zap.WarnLevel, LayerDaemon, "ports between daemons use plain text on loopback")
 	Failed           = event(1008, zap.ErrorLevel, LayerDaemon, "daemon failed")
 	PeerRefused      = event(1101, zap.WarnLevel, LayerWire, "peer refused")
+	ServerComplaint  = event(1102, zap.WarnLevel, LayerWire, "HTTP server complains")
 	RoleChanged      = event(2001, zap.InfoLevel, LayerControl, "role in the control group changed")
 	Leading          = event(2002, zap.InfoLevel, LayerControl, "leading with a valid lease")
 	SnapshotSaved    = event(2003, zap.InfoLevel, LayerControl, "snapshot saved")
