all: one skew bound, one form of publish ids, one lookup a request; dead code goes

Read over the whole change. The bound on wall-clock skew stood in control and in entry, where both must agree for moves away from upstreams that check nothing; the form of the time in publish ids stood in the command line, the leader and the trial; the home looked a slice up again that routing had found. Removed as nobody used them: the entry hosts' list of drained upstreams and its place in deltas, and three accessors. Behaviour is unchanged.

--- a/internal/control/agree/core.go
+++ b/internal/control/agree/core.go
@@ -210,9 +210,6 @@
 // CommitIndex returns the last index known to be committed.
 func (c *Core) CommitIndex() uint64 { return c.commit }
 
-// LastIndex returns the last index of the log.
-func (c *Core) LastIndex() uint64 { return c.log.lastIndex() }
-
 // SnapshotIndex returns the index the newest snapshot reaches.
 func (c *Core) SnapshotIndex() uint64 { return c.log.snapshot.Index }
 
--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -16,9 +16,6 @@
 	driftDenominator = 20
 )
 
-// MaxSkew bounds how far wall clocks of hosts differ; deadlines cross hosts by wall clock.
-const MaxSkew = 50 * time.Millisecond
-
 // Terms are the times that grants are kept by.
 type Terms struct {
 	lease   time.Duration
@@ -83,7 +80,7 @@
 // of an entry host dropped before may still be on its way.
 func NewKeeper(terms Terms, now time.Duration, s *state.State) *Keeper {
 	k := &Keeper{terms: terms, startedAt: now, upstreams: map[uint32]*upstreamLease{}, entries: map[string]*entryLease{},
-		handovers: map[sliceName]*handover{}, ghostsGone: now + terms.surelyOver() + terms.maxHold + MaxSkew}
+		handovers: map[sliceName]*handover{}, ghostsGone: now + terms.surelyOver() + terms.maxHold + table.MaxSkew}
 	k.Follow(now, s)
 	return k
 }
@@ -123,7 +120,7 @@
 
 // noteGhost keeps moves away from unchecking upstreams waiting until requests of a dropped entry host have ended.
 func (k *Keeper) noteGhost(l *entryLease) {
-	k.ghostsGone = max(k.ghostsGone, l.renewedAt+k.terms.surelyOver()+k.terms.maxHold+MaxSkew)
+	k.ghostsGone = max(k.ghostsGone, l.renewedAt+k.terms.surelyOver()+k.terms.maxHold+table.MaxSkew)
 }
 
 func (k *Keeper) followHandovers(now time.Duration, s *state.State) {
--- a/internal/control/grant/keeper_test.go
+++ b/internal/control/grant/keeper_test.go
@@ -155,7 +155,7 @@
 	})
 	t.Run("a lost entry host", func(t *testing.T) {
 		l, _ := setUp(t)
-		for l.now < time.Hour+wholeLease+terms.maxHold+MaxSkew-10*time.Millisecond {
+		for l.now < time.Hour+wholeLease+terms.maxHold+table.MaxSkew-10*time.Millisecond {
 			l.announce("a", 0)
 			l.announce("b", 0)
 			l.later(10 * time.Millisecond)
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -248,17 +248,14 @@
 // publishID is the form of a publish id: time of day first, so that ids sort by age.
 var publishID = regexp.MustCompile(`^\d{8}T\d{6}\.\d{3}Z-[A-Za-z0-9_-]{4,40}$`)
 
-// Form and skew of the time in a publish id.
-const (
-	publishTime    = "20060102T150405.000Z"
-	publishMaxSkew = time.Hour
-)
+// publishMaxSkew is how far ahead the time in a publish id may be.
+const publishMaxSkew = time.Hour
 
 func (g *Group) publish(ctx context.Context, r *oper.PublishRequest) (answer *table.Outcome, err error) {
 	if !publishID.MatchString(r.ID) {
 		return nil, &oper.ErrInvalid{Reason: "publish id must be a time such as 20260102T150405.000Z, a dash and 4 to 40 letters or digits"}
 	}
-	at, err := time.Parse(publishTime, strings.SplitN(r.ID, "-", 2)[0])
+	at, err := time.Parse(oper.PublishTime, strings.SplitN(r.ID, "-", 2)[0])
 	if err != nil || time.Until(at) > publishMaxSkew {
 		return nil, &oper.ErrInvalid{Reason: "the time in the publish id lies in the future"}
 	}
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -414,7 +414,7 @@
 	e.world.stage.sendOnce(e.name, to.name, func() {
 		to.serve(hash, s.Fence, u.Incarnation, deadline, func() { e.world.stage.send(to.name, e.name, end) })
 	})
-	e.world.in(e.name, hold+grant.MaxSkew, end)
+	e.world.in(e.name, hold+table.MaxSkew, end)
 }
 
 // fakeUpstream is an upstream that checks fences, or one that checks nothing but deadlines.
--- a/internal/control/state/delta.go
+++ b/internal/control/state/delta.go
@@ -15,7 +15,7 @@
 		d.Config = &config
 	}
 	if s.upstreamsAt > version {
-		d.Upstreams, d.Drained = s.Upstreams(), s.drained
+		d.Upstreams = s.Upstreams()
 	}
 	if s.entriesAt > version {
 		d.Entries = s.Entries()
@@ -30,7 +30,7 @@
 
 func (s *State) fullDelta(d table.Delta) table.Delta {
 	config := s.config
-	d.Full, d.Config, d.Upstreams, d.Entries, d.Drained = true, &config, s.Upstreams(), s.Entries(), s.drained
+	d.Full, d.Config, d.Upstreams, d.Entries = true, &config, s.Upstreams(), s.Entries()
 	for _, t := range s.tables {
 		d.Tables = append(d.Tables, table.TableChanges{Service: t.name, Whole: t.set.Slices()})
 	}
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -30,7 +30,7 @@
 	maxAnnouncements = 4096
 	answerHold       = 160 * time.Millisecond
 	againSoon        = 5 * time.Millisecond
-	againLater       = 200 * time.Millisecond
+	againJoining     = 50 * time.Millisecond
 )
 
 // Options describe an entry host's tie to control.
@@ -97,7 +97,7 @@
 	g.AgainMillis = againSoon.Milliseconds()
 	switch {
 	case g.Status == table.GrantJoining || g.Status == table.GrantRefused:
-		g.AgainMillis = againLater.Milliseconds() / 4
+		g.AgainMillis = againJoining.Milliseconds()
 	case g.Status == table.GrantHeld && !g.Changed:
 		hold, cancel := context.WithTimeout(ctx, answerHold)
 		defer cancel()
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
-	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
 
 // call is one caller's request as the entry host holds it.
@@ -57,7 +57,7 @@
 		if key == "" {
 			return nil, &errBadCall{http.StatusBadRequest, ReasonNoKey, "the request carries no key"}
 		}
-		c.hash = route.HashOf(key)
+		c.hash = slice.HashKey(key)
 	}
 	if c.caller = c.service.Caller().Of(r); c.caller == "" {
 		c.caller = remoteHost(r.RemoteAddr)
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -16,12 +16,13 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
 // sendHere makes one try as the home of the owner.
 func (h *Handler) sendHere(ctx context.Context, c *call, target route.Target) *reply {
-	h.options.Observer.Arrived(c.service.Name(), h.table.SliceStart(c.service.Name(), c.hash), c.hash)
+	h.options.Observer.Arrived(c.service.Name(), target.Start(), c.hash)
 	if c.handling.Idempotent || c.id == "" {
 		return h.queueAndForward(ctx, c, target)
 	}
@@ -128,14 +129,11 @@
 	return next, false
 }
 
-// maxSkew bounds how far wall clocks of hosts differ.
-const maxSkew = 50 * time.Millisecond
-
 // arrive ends the tracking of a request; one that may still lie in the socket of an upstream that does not check fences
 // counts until its deadline.
 func (h *Handler) arrive(target route.Target, p *reply, deadline time.Time) {
 	if p.outcome == Unknown && !target.Upstream().ChecksFence {
-		time.AfterFunc(time.Until(deadline)+maxSkew, func() { h.table.Arrive(target.Version()) })
+		time.AfterFunc(time.Until(deadline)+table.MaxSkew, func() { h.table.Arrive(target.Version()) })
 		return
 	}
 	h.table.Arrive(target.Version())
--- a/internal/entry/route/route.go
+++ b/internal/entry/route/route.go
@@ -6,13 +6,13 @@
 	"sync/atomic"
 	"time"
 
-	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
 // Target is where a request goes by one version of the table.
 type Target struct {
 	version  uint64
+	start    uint64
 	fence    uint64
 	upstream table.Upstream
 	home     table.EntryHost
@@ -22,6 +22,9 @@
 // Version returns the version of the table that the target was found by.
 func (t Target) Version() uint64 { return t.version }
 
+// Start returns where the slice starts.
+func (t Target) Start() uint64 { return t.start }
+
 // Fence returns the fence of the slice.
 func (t Target) Fence() uint64 { return t.fence }
 
@@ -86,7 +89,7 @@
 		return target
 	}
 	s := set.Find(hash)
-	target.fence = s.Fence
+	target.start, target.fence = s.Start, s.Fence
 	if s.Owner == 0 || s.Moving() {
 		return target
 	}
@@ -100,15 +103,6 @@
 // Find returns where a request for the hash goes now.
 func (t *Table) Find(service string, hash uint64) Target { return Find(t.view.Load(), service, hash) }
 
-// SliceStart returns where the slice of a hash starts.
-func (t *Table) SliceStart(service string, hash uint64) uint64 {
-	set, ok := t.view.Load().Set(service)
-	if !ok {
-		return 0
-	}
-	return set.Find(hash).Start
-}
-
 // Await waits until the table is newer than the version or the context ends.
 func (t *Table) Await(ctx context.Context, version uint64) (err error) {
 	if t.parked.Add(1) > t.maxParked {
@@ -188,6 +182,3 @@
 	defer t.mutex.Unlock()
 	return t.tenure.since(target.fence, target.upstream.Number)
 }
-
-// HashOf maps a key to its place in the hash space.
-func HashOf(key string) uint64 { return slice.HashKey(key) }
--- a/internal/ops/cmds/publish.go
+++ b/internal/ops/cmds/publish.go
@@ -19,11 +19,8 @@
 // serviceFilePattern names the files that a folder is searched for.
 const serviceFilePattern = "*.ebonyrill.ini"
 
-// Form and random part of a publish id.
-const (
-	publishTime        = "20060102T150405.000Z"
-	publishRandomBytes = 6
-)
+// publishRandomBytes is the length of the random part of a publish id.
+const publishRandomBytes = 6
 
 // filesArgument names service files or folders with them.
 type filesArgument struct {
@@ -146,7 +143,7 @@
 func newPublishID() string {
 	var b [publishRandomBytes]byte
 	_, _ = rand.Read(b[:])
-	return time.Now().UTC().Format(publishTime) + "-" + hex.EncodeToString(b[:])
+	return time.Now().UTC().Format(oper.PublishTime) + "-" + hex.EncodeToString(b[:])
 }
 
 func operatorName() string {
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -23,6 +23,9 @@
 	Burn      = "/ebonyrill.v1.Operators/Burn"
 )
 
+// PublishTime is the form of the time that a publish id begins with, so that ids sort by age.
+const PublishTime = "20060102T150405.000Z"
+
 // Empty is the body of a call without arguments or without an answer.
 type Empty struct{}
 
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -1,10 +1,15 @@
 package table
 
 import (
+	"time"
+
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
 
+// MaxSkew bounds how far wall clocks of hosts differ; deadlines cross hosts by wall clock.
+const MaxSkew = 50 * time.Millisecond
+
 // Upstream is one incarnation of a server that owns keys.
 type Upstream struct {
 	Number          uint32 `cbor:"1,keyasint" json:"number"`
@@ -57,7 +62,6 @@
 	Upstreams []Upstream     `cbor:"5,keyasint,omitempty"`
 	Entries   []EntryHost    `cbor:"6,keyasint,omitempty"`
 	Tables    []TableChanges `cbor:"7,keyasint,omitempty"`
-	Drained   []string       `cbor:"8,keyasint,omitempty"`
 	Digest    uint64         `cbor:"9,keyasint"`
 }
 
--- a/internal/shared/table/view.go
+++ b/internal/shared/table/view.go
@@ -19,7 +19,6 @@
 	upstreams map[uint32]Upstream
 	entries   []EntryHost
 	sets      map[string]slice.Set
-	drained   []string
 	homes     map[uint32]EntryHost
 }
 
@@ -54,7 +53,7 @@
 		return nil, &ErrNotNewer{Held: v.version, Offered: d.To}
 	}
 	next = &View{version: d.To, digest: v.digest, config: v.config, services: v.services, upstreams: v.upstreams,
-		entries: v.entries, drained: v.drained, homes: v.homes}
+		entries: v.entries, homes: v.homes}
 	if err = next.applyConfig(d.Config); err != nil {
 		return nil, err
 	}
@@ -63,7 +62,6 @@
 		for _, u := range d.Upstreams {
 			next.upstreams[u.Number] = u
 		}
-		next.drained = d.Drained
 	}
 	if d.Full || d.Entries != nil {
 		next.entries = d.Entries
@@ -144,16 +142,6 @@
 	return u, ok
 }
 
-// Drained reports whether the upstream is being drained by an operator.
-func (v *View) Drained(name string) bool {
-	for _, d := range v.drained {
-		if d == name {
-			return true
-		}
-	}
-	return false
-}
-
 // ServiceFor returns the service with the longest prefix of the path, or nil.
 func (v *View) ServiceFor(path string) (found *conf.Service) {
 	for _, s := range v.services {
