group: a host that is not started yet is not taken into the group by a candidate's word

'hosts init' starts the hosts one after the other. On a busy machine more than an election timeout (180 ms) passed between two of these calls, so that the first host sent pre-votes to hosts not started yet. Such a host made itself a blank replica on any message that named it, and from then on refused to be started ('already belongs to a group with other members'). With two of three in that state nobody can be elected: the group never starts and no repetition of the command helps.

Before: TestGroupStartsHostByHost, which lets 2 s pass between the calls, fails at the second host. After: it passes; a host joins on the word of a leader only. A leader exists only once a quorum was started. TestJoiningHostStartsNoOtherGroup holds that a host that a group takes in still refuses to start another. 'hosts init' repeats a refused step, as a host that the leader brings up to date knows its members a moment later.

--- a/internal/control/agree/core.go
+++ b/internal/control/agree/core.go
@@ -160,7 +160,7 @@
 		}
 	}
 	if m.Term < c.hard.Term {
-		if m.Kind == MessageAppend || m.Kind == MessageSnapshot {
+		if m.FromLeader() {
 			c.send(Message{Kind: MessageAppendAnswer, To: m.From, Reject: true})
 		}
 		return
--- a/internal/control/agree/types.go
+++ b/internal/control/agree/types.go
@@ -71,6 +71,9 @@
 	Address   string        `cbor:"13,keyasint,omitempty"`
 }
 
+// FromLeader reports whether only the leader of the message's term sends such a message.
+func (m Message) FromLeader() bool { return m.Kind == MessageAppend || m.Kind == MessageSnapshot }
+
 // Effects is what the driver must do after a step: persist, then send, then apply.
 type Effects struct {
 	Hard      *HardState
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -189,13 +189,10 @@
 
 func (g *Group) receive(m agree.Message) (err error) {
 	if g.core == nil {
-		if m.To != g.store.ID() {
+		if m.To != g.store.ID() || !m.FromLeader() {
 			return nil
 		}
-		if err = g.store.Join(); err != nil {
-			return err
-		}
-		if err = g.restore(); err != nil {
+		if err = g.join(); err != nil {
 			return err
 		}
 	}
@@ -206,6 +203,15 @@
 	return nil
 }
 
+// join makes this host a replica of the group whose leader speaks to it. A candidate's word is not enough: while an
+// operator starts a group host by host, candidates speak to hosts that are not started yet.
+func (g *Group) join() (err error) {
+	if err = g.store.Join(); err != nil {
+		return err
+	}
+	return g.restore()
+}
+
 // post sends messages to where their receivers are, by the newest configuration or else by their own word.
 func (g *Group) post(messages []agree.Message) {
 	if len(messages) == 0 {
--- /dev/null
+++ b/internal/control/group/start_test.go
@@ -0,0 +1,70 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+)
+
+// newBlankWorld starts hosts on empty data folders and returns the members that an operator would start a group of.
+func newBlankWorld(hosts int) (w *world, members agree.Members) {
+	w = &world{stage: newStage(3), effects: map[uint64]effect{}}
+	for i := range hosts {
+		h := w.addHost(i)
+		h.start()
+		members = append(members, agree.Replica{ID: h.disk.id, Address: h.name, DataCentre: "dc", Voter: true})
+	}
+	return w, agree.NewMembers(members...)
+}
+
+// bootstrap passes the operator's call to one host.
+func (h *fakeHost) bootstrap(members agree.Members) (err error) {
+	h.step(func(g *Group) error {
+		_, err = g.bootstrapNow(members)
+		return nil
+	})
+	return err
+}
+
+// TestGroupStartsHostByHost lets more than an election timeout pass between the calls that start a group, so that the
+// hosts started first speak to those not started yet.
+func TestGroupStartsHostByHost(t *testing.T) {
+	c := qt.New(t)
+	w, members := newBlankWorld(5)
+	for _, h := range w.hosts {
+		c.Assert(h.bootstrap(members), qt.IsNil, qt.Commentf("%s", h.name))
+		w.run(w.now + 2*time.Second)
+	}
+	c.Assert(w.leader(), qt.IsNotNil)
+	for _, h := range w.hosts {
+		c.Assert(h.bootstrap(members), qt.IsNil, qt.Commentf("resend to %s", h.name))
+		c.Assert(h.group.core.Members(), qt.DeepEquals, members)
+	}
+	c.Assert(w.broken, qt.HasLen, 0)
+}
+
+// TestJoiningHostStartsNoOtherGroup asks a host that a group is about to take in to start a group of its own.
+func TestJoiningHostStartsNoOtherGroup(t *testing.T) {
+	c := qt.New(t)
+	w, members := newBlankWorld(4)
+	added := members[3]
+	for _, h := range w.hosts[:3] {
+		c.Assert(h.bootstrap(members.Without(added.ID)), qt.IsNil)
+	}
+	w.run(2 * time.Second)
+	added.Voter = false
+	c.Assert(w.changeMembers(oper.MembersRequest{Action: oper.AddLearner}, added), qt.IsNil)
+	joining := w.host(added.Address)
+	for !joining.disk.joined {
+		w.run(w.now + time.Millisecond)
+	}
+	var refused *oper.ErrRefused
+	c.Assert(joining.bootstrap(members), qt.ErrorAs, &refused)
+	w.run(w.now + 2*time.Second)
+	c.Assert(joining.bootstrap(members), qt.ErrorAs, &refused)
+	c.Assert(w.broken, qt.HasLen, 0)
+}
--- a/internal/ops/cmds/hosts.go
+++ b/internal/ops/cmds/hosts.go
@@ -11,6 +11,9 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
+// stepTries is how often one step of a membership change is tried.
+const stepTries = 3
+
 // hostsInitCommand starts the control group.
 type hostsInitCommand struct {
 	shared *options
@@ -33,7 +36,7 @@
 		request.Members = append(request.Members, *i)
 	}
 	for _, m := range request.Members {
-		if _, err = wire.Call[oper.BootstrapRequest, oper.Identity](s.ctx, s.hosts.Client(), m.Address, oper.Bootstrap, request); err != nil {
+		if err = bootstrap(s, m.Address, request); err != nil {
 			return err
 		}
 	}
@@ -46,6 +49,26 @@
 	return errors.WithMessage(err, "the group has no leader")
 }
 
+// bootstrap starts the group on one host; a host that the group's leader is bringing up to date refuses until it knows
+// the members.
+func bootstrap(s *session, address string, r *oper.BootstrapRequest) error {
+	return insist(func() error {
+		_, err := wire.Call[oper.BootstrapRequest, oper.Identity](s.ctx, s.hosts.Client(), address, oper.Bootstrap, r)
+		return err
+	})
+}
+
+// insist tries an idempotent step a few times with pauses between.
+func insist(step func() error) (err error) {
+	for range stepTries {
+		if err = step(); err == nil {
+			return nil
+		}
+		time.Sleep(statusPause)
+	}
+	return err
+}
+
 // hostsAddCommand adds a control host.
 type hostsAddCommand struct {
 	shared *options
@@ -90,14 +113,11 @@
 }
 
 // change makes one step of a membership change; a step in progress is waited for.
-func change(s *session, r *oper.MembersRequest) (err error) {
-	for range 3 {
-		if _, err = ask[oper.MembersRequest, oper.Empty](s, oper.Members, r); err == nil {
-			return nil
-		}
-		time.Sleep(statusPause)
-	}
-	return err
+func change(s *session, r *oper.MembersRequest) error {
+	return insist(func() error {
+		_, err := ask[oper.MembersRequest, oper.Empty](s, oper.Members, r)
+		return err
+	})
 }
 
 // hostsRemoveCommand removes a control host.
