daemon: tests take ports that no outgoing connection can take, and run with 5 voters

The tests asked the system for a free port, let it go and started a daemon on it; ports of outgoing connections come from the same range, so that a parallel cluster could take it meanwhile. Ports now come from below that range, each once a test process, by the search that the demonstration uses. A wait that fails prints the last fault of a command and the end of each log.

TestLostDiskThenSecondLoss runs with 3 and with 5 voters; with 5, two more are lost the moment the repair is reported complete.

--- a/cmd/ebonyrill-load/main.go
+++ b/cmd/ebonyrill-load/main.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,32 +20,14 @@
 	Count int `long:"count" default:"40" description:"ports in a row"`
 }
 
-// Bounds of the search for free ports.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
 // Execute prints the first port of a free range on loopback.
-func (c *portsCommand) Execute([]string) error {
-	for base := firstPort + os.Getpid()%97*100; base+c.Count < lastPort; base += c.Count {
-		if rangeFree(base, c.Count) {
-			fmt.Println(base)
-			return nil
-		}
-	}
-	return errors.New("no free range of ports")
-}
-
-func rangeFree(base, count int) bool {
-	for p := base; p < base+count; p++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
+func (c *portsCommand) Execute([]string) (err error) {
+	base, err := drive.FreePorts(0, c.Count)
+	if err != nil {
+		return err
 	}
-	return true
+	fmt.Println(base)
+	return nil
 }
 
 // runCommand sends load.
--- a/internal/ops/daemon/process_test.go
+++ b/internal/ops/daemon/process_test.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,9 +24,10 @@
 
 // Sizes of the cluster of real processes.
 const (
-	clusterControl = 3
-	clusterEntries = 4
-	waitBound      = 40 * time.Second
+	fewVoters  = 3
+	moreVoters = 5
+	waitBound  = 40 * time.Second
+	logTail    = 2000
 )
 
 // cluster is real daemons and sample upstreams that a test started.
@@ -37,6 +38,8 @@
 	host    []daemonAddresses
 	running map[string]*exec.Cmd
 	serial  int
+	voters  int
+	fault   atomic.Pointer[string]
 }
 
 // daemonAddresses are where one daemon listens.
@@ -65,26 +68,35 @@
 	os.Exit(code)
 }
 
+// portCursor gives each address of this test process a port of its own.
+var portCursor struct {
+	sync.Mutex
+	next int
+}
+
 func freeAddress(c *qt.C) string {
 	c.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	portCursor.Lock()
+	defer portCursor.Unlock()
+	port, err := drive.FreePorts(portCursor.next, 1)
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	portCursor.next = port + 1
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
-// mustCluster starts control hosts and an entry host, publishes the fixtures' services and starts sample upstreams.
-func mustCluster(t *testing.T) *cluster {
-	k := &cluster{c: qt.New(t), folder: t.TempDir(), running: map[string]*exec.Cmd{}}
+// mustCluster starts control hosts and one host with the entry role alone, publishes the fixtures' services and starts
+// sample upstreams.
+func mustCluster(t *testing.T, voters int) *cluster {
+	k := &cluster{c: qt.New(t), folder: t.TempDir(), running: map[string]*exec.Cmd{}, voters: voters}
 	var err error
 	k.bin, err = build()
 	k.c.Assert(err, qt.IsNil)
 	k.c.Cleanup(k.endAll)
-	for range clusterEntries {
+	for range voters + 1 {
 		k.host = append(k.host, daemonAddresses{freeAddress(k.c), freeAddress(k.c), freeAddress(k.c)})
 	}
 	for i := range k.host {
-		k.writeSettings(i, i < clusterControl)
+		k.writeSettings(i, i < voters)
 		k.startHost(i)
 	}
 	k.eventually("group", func() bool { return k.try("hosts", "init") == nil })
@@ -99,7 +111,7 @@
 
 func (k *cluster) writeSettings(i int, control bool) {
 	var addresses []string
-	for _, h := range k.host[:clusterControl] {
+	for _, h := range k.host[:k.voters] {
 		addresses = append(addresses, h.peers)
 	}
 	text := fmt.Sprintf("[host]\nname = host%d\ndataCentre = centre-%d\n[listen]\ncallers = %s\npeers = %s\nadmin = %s\n[control]\naddresses = %s\n",
@@ -150,6 +162,13 @@
 	return err
 }
 
+// kill ends a host by SIGKILL.
+func (k *cluster) kill(host int) {
+	name := fmt.Sprintf("host%d", host)
+	k.signal(name, syscall.SIGKILL)
+	_ = k.end(name)
+}
+
 func (k *cluster) endAll() {
 	for name := range k.running {
 		k.signal(name, syscall.SIGCONT)
@@ -163,7 +182,7 @@
 // command runs an operator's command.
 func (k *cluster) command(args ...string) (string, error) {
 	var peers []string
-	for _, h := range k.host[:clusterControl] {
+	for _, h := range k.host[:k.voters] {
 		peers = append(peers, h.peers)
 	}
 	cmd := exec.Command(filepath.Join(k.bin, "ebonyrill"), append([]string{"--hosts", strings.Join(peers, ",")}, args...)...)
@@ -172,6 +191,8 @@
 	err := cmd.Run()
 	if err != nil {
 		err = fmt.Errorf("%w: %s", err, errOut.String())
+		fault := err.Error()
+		k.fault.Store(&fault)
 	}
 	return out.String(), err
 }
@@ -195,7 +216,21 @@
 			return
 		}
 	}
-	k.c.Fatalf("not reached: %s", what)
+	k.printLogs()
+	fault := "none"
+	if last := k.fault.Load(); last != nil {
+		fault = *last
+	}
+	k.c.Fatalf("not reached: %s; last fault of a command: %s", what, fault)
+}
+
+// printLogs shows the end of each process's log, for a test that is about to fail.
+func (k *cluster) printLogs() {
+	names, _ := filepath.Glob(filepath.Join(k.folder, "*.log"))
+	for _, name := range names {
+		text, _ := os.ReadFile(name)
+		k.c.Logf("%s: %s", filepath.Base(name), text[max(0, len(text)-logTail):])
+	}
 }
 
 func (k *cluster) status() (s oper.StatusAnswer, ok bool) {
@@ -260,7 +295,7 @@
 }
 
 func TestGracefulStopCutsNothing(t *testing.T) {
-	k := mustCluster(t)
+	k := mustCluster(t, fewVoters)
 	v := k.underLoad(9*time.Second, func() {
 		k.signal("host3", syscall.SIGTERM)
 		k.signal("frame0", syscall.SIGTERM)
@@ -274,7 +309,7 @@
 }
 
 func TestFrozenProcessesBreakNoPromise(t *testing.T) {
-	k := mustCluster(t)
+	k := mustCluster(t, fewVoters)
 	k.startUpstream("lists9", "listesvc", "--unchecked", "--work", "100ms")
 	k.startUpstream("frame9", "frameRegister", "--work", "100ms")
 	k.awaitSettled(8)
@@ -288,26 +323,30 @@
 	k.awaitSettled(8)
 }
 
+// TestLostDiskThenSecondLoss empties the leader's disk, repairs the group, and the moment the repair is reported complete
+// loses as many hosts as the group says it tolerates.
 func TestLostDiskThenSecondLoss(t *testing.T) {
-	k := mustCluster(t)
-	k.underLoad(9*time.Second, func() {
-		lost := k.leaderIndex()
-		name := fmt.Sprintf("host%d", lost)
-		k.signal(name, syscall.SIGKILL)
-		_ = k.end(name)
-		k.c.Assert(os.RemoveAll(filepath.Join(k.folder, fmt.Sprintf("data%d", lost))), qt.IsNil)
-		k.startHost(lost)
-		k.eventually("replacement", func() bool { return k.try("hosts", "replace", k.host[lost].peers, k.host[lost].peers) == nil })
-		second := fmt.Sprintf("host%d", (lost+1)%clusterControl)
-		k.signal(second, syscall.SIGKILL)
-		_ = k.end(second)
-	})
-	k.eventually("a leader after the second loss", func() bool { _, ok := k.status(); return ok })
-	k.must("publish", "../../../_fixtures/services")
+	for _, voters := range []int{fewVoters, moreVoters} {
+		t.Run(fmt.Sprint(voters, " voters"), func(t *testing.T) {
+			k := mustCluster(t, voters)
+			k.underLoad(9*time.Second, func() {
+				lost := k.leaderIndex()
+				k.kill(lost)
+				k.c.Assert(os.RemoveAll(filepath.Join(k.folder, fmt.Sprintf("data%d", lost))), qt.IsNil)
+				k.startHost(lost)
+				k.eventually("replacement", func() bool { return k.try("hosts", "replace", k.host[lost].peers, k.host[lost].peers) == nil })
+				for i := range (voters - 1) / 2 {
+					k.kill((lost + 1 + i) % voters)
+				}
+			})
+			k.eventually("a leader after the second loss", func() bool { _, ok := k.status(); return ok })
+			k.must("publish", "../../../_fixtures/services")
+		})
+	}
 }
 
 func TestOperatorsRace(t *testing.T) {
-	k := mustCluster(t)
+	k := mustCluster(t, fewVoters)
 	s, ok := k.status()
 	k.c.Assert(ok, qt.IsTrue)
 	base := fmt.Sprint(s.ConfigVersion)
@@ -328,9 +367,7 @@
 	if codes[0] != 0 {
 		won = 1
 	}
-	leader := fmt.Sprintf("host%d", k.leaderIndex())
-	k.signal(leader, syscall.SIGKILL)
-	_ = k.end(leader)
+	k.kill(k.leaderIndex())
 	again := k.must("publish", "--base", base, "--id", fmt.Sprintf("20260102T150405.000Z-race%d", won), "../../../_fixtures/services")
 	k.c.Assert(again, qt.Contains, "accepted as version")
 }
@@ -341,7 +378,7 @@
 	for _, mode := range []string{"checked", "unchecked"} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
-			k := mustCluster(t)
+			k := mustCluster(t, fewVoters)
 			args := []string{"--work", "400ms"}
 			if mode == "unchecked" {
 				args = append(args, "--unchecked")
@@ -387,7 +424,7 @@
 
 // closure closes a frame by way of the last entry host and returns the outcome.
 func (k *cluster) closure(key, id string) string {
-	r, err := http.NewRequest(http.MethodPost, "http://"+k.host[3].callers+"/frames/"+key+"/closure", strings.NewReader("x"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+k.host[k.voters].callers+"/frames/"+key+"/closure", strings.NewReader("x"))
 	if err != nil {
 		return err.Error()
 	}
