drive: the time a key is not served no longer depends on how often callers ask for it

Each key that was not served is now asked for every 20 ms until it is. Probes count for the time and for all promises, not among requests and outcomes.

--- a/internal/sample/drive/drive.go
+++ b/internal/sample/drive/drive.go
@@ -43,6 +43,12 @@
 	Reason  string        `json:"reason,omitempty"`
 	Status  int           `json:"status"`
 	Own     bool          `json:"own"`
+	Probe   bool          `json:"probe,omitempty"`
+}
+
+// good reports whether the caller was served.
+func (s Sent) good() bool {
+	return s.Outcome == string(relay.Done) && s.Status < http.StatusInternalServerError
 }
 
 // Result is what callers saw.
@@ -57,6 +63,7 @@
 	client   *http.Client
 	mutex    sync.Mutex
 	result   Result
+	probed   map[string]bool
 }
 
 // Outcomes that the driver adds to those of entry hosts.
@@ -64,11 +71,13 @@
 	outcomeNoAnswer = "noAnswer"
 	requestTimeout  = 6 * time.Second
 	idlePerEntry    = 256
+	probePause      = 20 * time.Millisecond
+	probeBound      = 10 * time.Second
 )
 
 // Run sends the load at a steady rate, whatever the answers, and waits for all of them.
 func Run(o Options) Result {
-	d := &driver{options: o, balancer: newBalancer(o.Entries)}
+	d := &driver{options: o, balancer: newBalancer(o.Entries), probed: map[string]bool{}}
 	d.client = &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEntry}}
 	ctx, cancel := context.WithTimeout(context.Background(), o.Duration)
 	defer cancel()
@@ -83,22 +92,57 @@
 		service := o.Services[random.IntN(len(o.Services))]
 		key := fmt.Sprintf("k%d", zipf.Uint64())
 		write := random.Float64() < o.WriteShare
-		wait.Go(func() { d.one(n, service, key, write) })
+		wait.Go(func() {
+			if s := d.one(n, service, key, write); !s.good() {
+				d.probe(n, service, key)
+			}
+		})
 	}
 	wait.Wait()
 	return d.result
 }
 
-// one sends one request; a connection that could not be made is tried at another entry host.
-func (d *driver) one(n int, service Service, key string, write bool) {
-	s := Sent{Key: service.Prefix + "/" + key, Write: write, At: time.Now().UnixNano()}
+// one sends one request and notes what became of it.
+func (d *driver) one(n int, service Service, key string, write bool) (s Sent) {
+	s = Sent{Key: service.Prefix + "/" + key, Write: write}
 	if write {
 		s.ID = fmt.Sprintf("r%d-%d", d.options.Seed, n)
 	}
+	d.send(&s, service, n)
+	return s
+}
+
+// probe asks for a key that was not served until it is, so that the time it was not served does not depend on how often
+// callers ask for it.
+func (d *driver) probe(n int, service Service, key string) {
+	if !d.claim(service.Prefix+"/"+key, true) {
+		return
+	}
+	defer d.claim(service.Prefix+"/"+key, false)
+	for until := time.Now().Add(probeBound); time.Now().Before(until); time.Sleep(probePause) {
+		s := Sent{Key: service.Prefix + "/" + key, Probe: true}
+		if d.send(&s, service, n); s.good() {
+			return
+		}
+	}
+}
+
+// claim notes that a key is being probed, or no longer, and reports whether that is news.
+func (d *driver) claim(key string, on bool) (news bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	news = d.probed[key] != on
+	d.probed[key] = on
+	return news
+}
+
+// send sends a request; a connection that could not be made is tried at another entry host.
+func (d *driver) send(s *Sent, service Service, n int) {
 	started := time.Now()
+	s.At = started.UnixNano()
 	for range d.options.Entries {
 		i, callers := d.balancer.pick()
-		sent, err := d.try(&s, callers, service, write, n)
+		sent, err := d.try(s, callers, service, n)
 		if err == nil || sent {
 			break
 		}
@@ -107,13 +151,13 @@
 	s.Took = time.Since(started)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.result.Sent = append(d.result.Sent, s)
+	d.result.Sent = append(d.result.Sent, *s)
 }
 
-func (d *driver) try(s *Sent, callers string, service Service, write bool, n int) (sent bool, err error) {
+func (d *driver) try(s *Sent, callers string, service Service, n int) (sent bool, err error) {
 	echo := fmt.Sprintf("body-%d", n)
 	method, path, body := http.MethodGet, s.Key, io.Reader(nil)
-	if write {
+	if s.Write {
 		method, path, body = http.MethodPost, s.Key+"/"+service.Write, bytes.NewReader([]byte(echo))
 	}
 	r, err := http.NewRequest(method, "http://"+callers+path, body)
@@ -121,7 +165,7 @@
 		return false, err
 	}
 	r.Header.Set("X-Caller", fmt.Sprintf("caller%d", n%20))
-	if write {
+	if s.Write {
 		r.Header.Set(relay.HeaderRequestID, s.ID)
 		r.Header.Set(relay.HeaderAttempt, "1")
 	}
@@ -132,7 +176,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.Status, s.Outcome, s.Reason = response.StatusCode, response.Header.Get(relay.HeaderOutcome), response.Header.Get(relay.HeaderReason)
-	s.Own = d.own(response, s.Key, echo, write)
+	s.Own = d.own(response, s.Key, echo, s.Write)
 	return true, nil
 }
 
