relay: too large a header is refused with an outcome; hops over silent connections are tested

net/http answered 431 by itself, without an outcome. TestSilentConnections runs each direction on the path to the upstream and on the path to the home.

--- a/internal/entry/relay/fixture_test.go
+++ b/internal/entry/relay/fixture_test.go
@@ -59,7 +59,7 @@
 func mustFixture(t testing.TB, name string, upstreams ...table.Upstream) *fixture {
 	c := qt.New(t)
 	f := &fixture{c: c, table: route.NewTable(name, 100)}
-	f.handler = NewHandler(Options{Name: name, Table: f.table, Scheme: "http", MaxBody: 1 << 20, MaxHold: 500 * time.Millisecond,
+	f.handler = NewHandler(Options{Name: name, Table: f.table, Scheme: "http", MaxBody: 1 << 20, MaxHeader: 8 << 10, MaxHold: 500 * time.Millisecond,
 		Lease: func() time.Time { return time.Now().Add(time.Second) }, Observer: nopObserver{}, Log: events.Nop()})
 	f.server = httptest.NewServer(f.handler)
 	c.Cleanup(f.server.Close)
--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -28,15 +28,16 @@
 
 // Options describe an entry host's forwarding.
 type Options struct {
-	Name     string
-	Table    *route.Table
-	Scheme   string
-	Security *wire.Security
-	MaxBody  int64
-	MaxHold  time.Duration
-	Lease    func() time.Time
-	Observer Observer
-	Log      *events.Log
+	Name      string
+	Table     *route.Table
+	Scheme    string
+	Security  *wire.Security
+	MaxBody   int64
+	MaxHeader int
+	MaxHold   time.Duration
+	Lease     func() time.Time
+	Observer  Observer
+	Log       *events.Log
 }
 
 // Handler forwards callers' requests; it is safe for concurrent use.
@@ -63,6 +64,10 @@
 
 // ServeHTTP answers a caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if headerBytes(r) > h.options.MaxHeader {
+		writeRefusal(w, &errBadCall{http.StatusRequestHeaderFieldsTooLarge, ReasonTooLarge, "the request's header is too large"})
+		return
+	}
 	body, whole, err := h.readBody(w, r)
 	switch {
 	case err != nil:
--- a/internal/entry/relay/headers.go
+++ b/internal/entry/relay/headers.go
@@ -63,6 +63,23 @@
 var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
+// Bytes that HTTP adds to each header field and to the request line.
+const (
+	fieldOverhead = len(": \r\n")
+	lineOverhead  = len("  HTTP/1.1\r\n")
+)
+
+// headerBytes returns the size of a request's line and header fields.
+func headerBytes(r *http.Request) (size int) {
+	size = len(r.Method) + len(r.RequestURI) + lineOverhead + len("Host") + len(r.Host) + fieldOverhead
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + fieldOverhead
+		}
+	}
+	return size
+}
+
 // passedOn returns a copy of a header without what belongs to one connection and without ebonyrill's own names.
 func passedOn(h http.Header) http.Header {
 	next := make(http.Header, len(h)+4)
--- a/internal/entry/relay/silent_test.go
+++ b/internal/entry/relay/silent_test.go
@@ -79,43 +79,64 @@
 	}
 }
 
-func TestSilentConnectionsToUpstream(t *testing.T) {
+// silentPath is a path between two places whose connections a test silences.
+type silentPath struct {
+	name  string
+	build func(t *testing.T, s script) (*fixture, *scripted, *muffler)
+}
+
+var silentPaths = []silentPath{
+	{"upstream", func(t *testing.T, s script) (*fixture, *scripted, *muffler) {
+		u := mustScripted(qt.New(t), s)
+		m := mustMuffler(qt.New(t), u.address())
+		return mustFixture(t, "entry1", upstreamAt(1, m.listener.Addr().String())), u, m
+	}},
+	{"home", func(t *testing.T, s script) (far *fixture, u *scripted, m *muffler) {
+		far, _, u = mustPair(t, s, func(c *qt.C, address string) string {
+			m = mustMuffler(c, address)
+			return m.listener.Addr().String()
+		})
+		return far, u, m
+	}},
+}
+
+func TestSilentConnections(t *testing.T) {
 	directions := []struct {
 		name          string
 		towards, back bool
-	}{{"both ways", true, true}, {"towards the upstream", true, false}, {"from the upstream", false, true}}
-	setUp := func(t *testing.T) (*fixture, *scripted, *muffler) {
-		u := mustScripted(qt.New(t), func(conn net.Conn, r *http.Request) { answer(conn, r, "ok") })
-		m := mustMuffler(qt.New(t), u.address())
-		f := mustFixture(t, "entry1", upstreamAt(1, m.listener.Addr().String()))
-		for range 3 {
-			f.c.Assert(f.do("GET", "/frames/k").outcome, qt.Equals, Done)
-			f.c.Assert(f.do("POST", "/frames/k/closure").outcome, qt.Equals, Done)
+	}{{"both ways", true, true}, {"towards it", true, false}, {"from it", false, true}}
+	for _, p := range silentPaths {
+		setUp := func(t *testing.T) (*fixture, *scripted, *muffler) {
+			f, u, m := p.build(t, func(conn net.Conn, r *http.Request) { answer(conn, r, "ok") })
+			for range 3 {
+				f.c.Assert(f.do("GET", "/frames/k").outcome, qt.Equals, Done)
+				f.c.Assert(f.do("POST", "/frames/k/closure").outcome, qt.Equals, Done)
+			}
+			return f, u, m
+		}
+		for _, d := range directions {
+			t.Run(p.name+", lookup, "+d.name, func(t *testing.T) {
+				f, _, m := setUp(t)
+				m.silence(d.towards, d.back)
+				f.c.Assert(f.do("GET", "/frames/k").outcome, qt.Equals, Done)
+			})
+			t.Run(p.name+", closure right away, "+d.name, func(t *testing.T) {
+				f, u, m := setUp(t)
+				runs := u.runs.Load()
+				m.silence(d.towards, d.back)
+				g := f.do("POST", "/frames/k/closure")
+				f.c.Assert(g.outcome, qt.Equals, Unknown)
+				f.c.Assert(u.runs.Load() <= runs+1, qt.IsTrue)
+				f.c.Assert(f.do("POST", "/frames/k/closure").outcome, qt.Equals, Done)
+			})
+			t.Run(p.name+", closure after a while, "+d.name, func(t *testing.T) {
+				f, u, m := setUp(t)
+				runs := u.runs.Load()
+				m.silence(d.towards, d.back)
+				time.Sleep(provenIdle + 100*time.Millisecond)
+				assertOutcome(f.c, f.do("POST", "/frames/k/closure"), Done, u, runs+1)
+			})
 		}
-		return f, u, m
-	}
-	for _, d := range directions {
-		t.Run("lookup, "+d.name, func(t *testing.T) {
-			f, _, m := setUp(t)
-			m.silence(d.towards, d.back)
-			f.c.Assert(f.do("GET", "/frames/k").outcome, qt.Equals, Done)
-		})
-		t.Run("closure right away, "+d.name, func(t *testing.T) {
-			f, u, m := setUp(t)
-			runs := u.runs.Load()
-			m.silence(d.towards, d.back)
-			g := f.do("POST", "/frames/k/closure")
-			f.c.Assert(g.outcome, qt.Equals, Unknown)
-			f.c.Assert(u.runs.Load() <= runs+1, qt.IsTrue)
-			f.c.Assert(f.do("POST", "/frames/k/closure").outcome, qt.Equals, Done)
-		})
-		t.Run("closure after a while, "+d.name, func(t *testing.T) {
-			f, u, m := setUp(t)
-			runs := u.runs.Load()
-			m.silence(d.towards, d.back)
-			time.Sleep(provenIdle + 100*time.Millisecond)
-			assertOutcome(f.c, f.do("POST", "/frames/k/closure"), Done, u, runs+1)
-		})
 	}
 }
 
--- a/internal/entry/relay/whole_test.go
+++ b/internal/entry/relay/whole_test.go
@@ -122,6 +122,7 @@
 		{"long id", "/frames/k/closure", []string{HeaderRequestID, strings.Repeat("i", 129)}, 1, http.StatusBadRequest, ReasonBadRequest},
 		{"bad attempt", "/frames/k/closure", []string{HeaderAttempt, "first"}, 1, http.StatusBadRequest, ReasonBadRequest},
 		{"bad timeout", "/frames/k/closure", []string{HeaderTimeout, "-5"}, 1, http.StatusBadRequest, ReasonBadRequest},
+		{"large header", "/frames/k/closure", []string{"X-Large", strings.Repeat("h", 9<<10)}, 1, http.StatusRequestHeaderFieldsTooLarge, ReasonTooLarge},
 		{"large body", "/frames/k/closure", nil, 2 << 20, http.StatusRequestEntityTooLarge, ReasonTooLarge},
 	}
 	for _, v := range cases {
@@ -149,20 +150,28 @@
 	f.c.Assert(g.body, qt.Equals, "7")
 }
 
+// mustPair returns two entry hosts of which the second is the home; the first reaches it at the address that via returns
+// for the home's own.
+func mustPair(t *testing.T, s script, via func(c *qt.C, address string) string) (far, home *fixture, u *scripted) {
+	u = mustScripted(qt.New(t), s)
+	info := upstreamAt(1, u.address())
+	far, home = mustFixture(t, "far", info), mustFixture(t, "home", info)
+	hops := httptest.NewServer(http.HandlerFunc(home.handler.ServeHop))
+	home.c.Cleanup(hops.Close)
+	address := hops.Listener.Addr().String()
+	if via != nil {
+		address = via(home.c, address)
+	}
+	entries := []table.EntryHost{{Name: "home", Address: address, DataCentre: "dc"}}
+	far.delta.Entries, home.delta.Entries = entries, entries
+	far.own(1, 7, 11)
+	home.own(1, 7, 11)
+	return far, home, u
+}
+
 // TestHop sends requests through a second entry host.
 func TestHop(t *testing.T) {
-	pair := func(t *testing.T, s script) (far, home *fixture, u *scripted) {
-		u = mustScripted(qt.New(t), s)
-		info := upstreamAt(1, u.address())
-		far, home = mustFixture(t, "far", info), mustFixture(t, "home", info)
-		hops := httptest.NewServer(http.HandlerFunc(home.handler.ServeHop))
-		home.c.Cleanup(hops.Close)
-		entries := []table.EntryHost{{Name: "home", Address: hops.Listener.Addr().String(), DataCentre: "dc"}}
-		far.delta.Entries, home.delta.Entries = entries, entries
-		far.own(1, 7, 11)
-		home.own(1, 7, 11)
-		return far, home, u
-	}
+	pair := func(t *testing.T, s script) (far, home *fixture, u *scripted) { return mustPair(t, s, nil) }
 	t.Run("whole answer", func(t *testing.T) {
 		far, _, u := pair(t, func(conn net.Conn, r *http.Request) { answer(conn, r, r.URL.Path) })
 		g := far.do("GET", "/frames/k7")
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -38,6 +38,9 @@
 	leavePollPause = 20 * time.Millisecond
 )
 
+// headerSlack is how many times the header limit the server takes in, so that the refusal can carry an outcome.
+const headerSlack = 4
+
 // Daemon is one process of the system.
 type Daemon struct {
 	settings *conf.Settings
@@ -104,14 +107,15 @@
 	d.follower = follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(client, d.settings.Control()),
 		Lease: d.settings.LeaseTime(), Table: d.table, Tally: d.tally, Log: d.log})
 	d.relay = relay.NewHandler(relay.Options{Name: d.settings.Name(), Table: d.table, Scheme: client.Scheme(),
-		Security: d.security, MaxBody: int64(d.settings.MaxBodyBytes()), MaxHold: d.settings.MaxHold(),
+		Security: d.security, MaxBody: int64(d.settings.MaxBodyBytes()), MaxHeader: d.settings.MaxHeaderBytes(), MaxHold: d.settings.MaxHold(),
 		Lease: d.follower.LeaseEnd, Observer: d.tally, Log: d.log})
 }
 
 func (d *Daemon) servers() {
 	d.callers = &http.Server{Handler: d.counted(http.HandlerFunc(d.relay.ServeHTTP)), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: callerIdle, MaxHeaderBytes: d.settings.MaxHeaderBytes()}
-	d.peers = &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+		IdleTimeout: callerIdle, MaxHeaderBytes: headerSlack * d.settings.MaxHeaderBytes()}
+	d.peers = &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+		MaxHeaderBytes: d.callers.MaxHeaderBytes}
 	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	for _, server := range []*http.Server{d.callers, d.peers, d.admin} {
 		server.ErrorLog = d.serverLog()
--- a/internal/sample/trial/forward.go
+++ b/internal/sample/trial/forward.go
@@ -69,7 +69,7 @@
 		Entries:   []table.EntryHost{{Name: "e", DataCentre: "dc"}},
 		Upstreams: []table.Upstream{{Number: 1, Name: "u", Service: "s", Address: address, DataCentre: "dc", ChecksFence: true, Slots: 64, Connections: 512}},
 		Tables:    []table.TableChanges{{Service: "s", Whole: whole}}, Digest: table.ServiceDigest("s", set)})
-	return relay.NewHandler(relay.Options{Name: "e", Table: t, Scheme: "http", MaxBody: 1 << 20, MaxHold: time.Second,
+	return relay.NewHandler(relay.Options{Name: "e", Table: t, Scheme: "http", MaxBody: 1 << 20, MaxHeader: 1 << 15, MaxHold: time.Second,
 		Lease: func() time.Time { return time.Now().Add(time.Hour) }, Observer: quiet{}, Log: events.Nop()}), err
 }
 
