group: a leaving upstream is empty within 3 s, and an hour of isolation, both proved in worlds

TestControlHostIsolatedForAnHour: the leader is cut off from the other control hosts for a simulated hour, both ways and either way, while configurations move on and entry hosts restart and ask it first; fails without pre-vote.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -53,12 +53,16 @@
 mutant condemned $grant/keeper.go 'if u.Incarnation != a.Incarnation || l == nil || l.condemned {' 'if u.Incarnation != a.Incarnation || l == nil {' $grant TestCondemnedUpstreamIsNotRenewed
 mutant replays $grant/keeper.go 'if a.Sequence <= l.sequence {' 'if false {' $grant TestReplayedAnnouncements
 mutant preVote $agree/elect.go 'c.requestVotes(MessagePreVote, c.hard.Term+1, 0)' 'c.startElection(now, 0)' $agree TestIsolatedHostDeposesNobody
+mutant preVoteInWorld $agree/elect.go 'c.requestVotes(MessagePreVote, c.hard.Term+1, 0)' 'c.startElection(now, 0)' $group TestControlHostIsolatedForAnHour
 mutant stickyVote $agree/elect.go 'return m.Term > c.hard.Term && c.leaderIsRecent(now)' 'return false' $agree TestRestartedVoterKeepsItsPromiseToTheLeader
 mutant leaderLease $agree/core.go 'c.committedOwnTerm() && now < c.leaseEnd(now)' 'c.committedOwnTerm()' $agree 'TestIsolatedLeader|TestPausedLeader'
 mutant identity $agree/core.go 'if m.To != c.id || m.From == c.id {' 'if m.From == c.id {' $agree TestMessagesForAnotherIdentityAreDropped
 mutant oneVoteAtATime $agree/core.go 'if c.members.voterChanges(next) > 1 {' 'if false {' $agree TestMembershipChangesAreGuarded
 mutant persistFirst $group/group.go 'if err = g.store.Save(out.Hard, out.Append); err != nil {' 'if g.core.Role() == agree.Leader { err = g.store.Save(out.Hard, out.Append) }; if err != nil {' $group 'TestSoakOwnership|TestSoakRepair'
 mutant redundancy $group/status.go ' && g.core.MembersCommitted()' '' $group TestFullRedundancyMeansCommittedMembers
+mutant emptyLeaving internal/control/place/weighted.go '	p.emptyLeaving()
+' '' $group TestLeavingUpstreamGetsNoNewWork
+mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
 mutant corruptMiddle $store/store.go 'if wholeRecordBehind(data[offset:]) {' 'if false {' $store TestCorruptMiddle
@@ -78,7 +82,7 @@
 mutant brokenOnTruncation $relay/handler.go 'panic(http.ErrAbortHandler)' 'return' $relay TestLongAnswerCutShort
 mutant tracking $relay/here.go 'if p.outcome == Unknown && !target.Upstream().ChecksFence {' 'if false {' $relay TestRequestThatMayLieInASocket
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
-mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnectionsToUpstream/closure_after'
+mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
 mutant turns internal/entry/admit/queue.go 'l.lanes = append(l.lanes, a)
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -432,6 +432,7 @@
 	running  map[int]table.Grant
 	runs     int
 	leaving  bool
+	emptyBy  time.Duration
 }
 
 func (w *world) addUpstream(i int, checks bool) {
@@ -542,6 +543,9 @@
 // hosts, or after it restarted under its address and its earlier grants have not run out. Nobody else owns the key then.
 func (u *fakeUpstream) effect(hash, fence uint64) {
 	w := u.world
+	if u.emptyBy > 0 && w.now > u.emptyBy {
+		w.breach("%s still gets work, %v after it had to be empty", u.name, w.now-u.emptyBy)
+	}
 	last := w.effects[hash]
 	other := last.upstream != u.name
 	if fence < last.fence && (u.checks || other) || fence == last.fence && other {
