group: any control host takes renewals and watches; held announcements renew from before

Cause: at the size to design for every entry host calls the leader, 12,200 renewals a second, worked out as 2.8 cores in one loop, and the leader sends each delta to all 680 daemons itself. A host that follows now carries the renewals it gets to the leader, many in one call (RenewMany), and serves watches from its own state once the leader has said, in answer to a call made after the watch arrived, what is committed: never older than what an operator was told, so that a host cut off from the leader answers nobody. Deltas are encoded once for all that hold the same.

Entry hosts keep to one control host for 2 to 4 minutes and choose anew.

--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -161,8 +161,10 @@
 	return r.Applied >= l.joinedAt
 }
 
-// RenewUpstream renews an upstream's lease and returns its grants where they are not those it holds. What the upstream
-// says of its own health and load is not read, as it may lag or mislead.
+// RenewUpstream renews an upstream's lease and returns its grants where they are not those it holds. An announcement that
+// comes twice is answered twice and renews once, and one that was held on its way renews from before that, as its sender
+// counts the lease from when it sent it. What the upstream says of its own health and load is not read, as it may lag or
+// mislead.
 func (k *Keeper) RenewUpstream(now time.Duration, s *state.State, a table.Announcement) (g table.GrantAnswer) {
 	g = table.GrantAnswer{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Status: table.GrantStale}
 	u, ok := s.UpstreamNamed(a.Name)
@@ -176,11 +178,14 @@
 	if u.Incarnation != a.Incarnation || l == nil || l.condemned {
 		return g
 	}
-	if a.Sequence <= l.sequence {
+	if a.Sequence < l.sequence {
 		g.Status, g.Reason = table.GrantRefused, "a later announcement was seen"
 		return g
 	}
-	l.renewedAt, l.sequence, l.held = now, a.Sequence, max(l.held, a.Held)
+	if a.Sequence > l.sequence {
+		l.renewedAt = max(l.renewedAt, now-a.Age.Sure())
+	}
+	l.sequence, l.held = a.Sequence, max(l.held, a.Held)
 	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, k.terms.lease.Milliseconds(), u.GrantsVersion
 	g.Draining = s.Drained(u)
 	if a.Held != u.GrantsVersion {
--- a/internal/control/grant/keeper_test.go
+++ b/internal/control/grant/keeper_test.go
@@ -176,8 +176,32 @@
 func TestReplayedAnnouncements(t *testing.T) {
 	l := mustLedger(t, true)
 	old := table.Announcement{Name: "a", Incarnation: 1, Sequence: 1, Service: "s"}
+	later := old
+	later.Sequence = 2
+	u, _ := l.state.UpstreamNamed("a")
 	l.c.Assert(l.keeper.RenewUpstream(l.now, l.state, old).Status, qt.Equals, table.GrantHeld)
+	renewed := l.now
+	l.now += l.keeper.terms.surelyOver() - time.Millisecond
+	l.c.Assert(l.keeper.RenewUpstream(l.now, l.state, old).Status, qt.Equals, table.GrantHeld)
+	l.c.Assert(l.keeper.Live(l.now, u.Number), qt.IsTrue)
+	l.now = renewed + l.keeper.terms.surelyOver()
+	l.c.Assert(l.keeper.Live(l.now, u.Number), qt.IsFalse, qt.Commentf("an announcement that comes twice renews once"))
+	l.c.Assert(l.keeper.RenewUpstream(l.now, l.state, later).Status, qt.Equals, table.GrantHeld)
 	l.c.Assert(l.keeper.RenewUpstream(l.now, l.state, old).Status, qt.Equals, table.GrantRefused)
 	l.apply(state.Command{JoinUpstream: &table.Upstream{Name: "a", Incarnation: 2, Service: "s"}})
 	l.c.Assert(l.announce("a", 0).Status, qt.Equals, table.GrantStale)
 }
+
+func TestHeldAnnouncementsRenewFromBefore(t *testing.T) {
+	l := mustLedger(t, true)
+	u, _ := l.state.UpstreamNamed("a")
+	l.now += time.Second
+	held := table.Announcement{Name: "a", Incarnation: 1, Sequence: 1, Service: "s", Age: table.Age(400 * time.Millisecond)}
+	l.c.Assert(l.keeper.RenewUpstream(l.now, l.state, held).Status, qt.Equals, table.GrantHeld)
+	over := l.now - held.Age.Sure() + l.keeper.terms.surelyOver()
+	l.c.Assert(l.keeper.Live(over-time.Millisecond, u.Number), qt.IsTrue)
+	l.c.Assert(l.keeper.Live(over, u.Number), qt.IsFalse)
+	held.Sequence, held.Age = 2, table.Age(time.Hour)
+	l.c.Assert(l.keeper.RenewUpstream(l.now, l.state, held).Status, qt.Equals, table.GrantHeld)
+	l.c.Assert(l.keeper.Live(over-time.Millisecond, u.Number), qt.IsTrue, qt.Commentf("no lease gets shorter"))
+}
--- /dev/null
+++ b/internal/control/group/carry.go
@@ -0,0 +1,224 @@
+package group
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Bounds of carrying.
+const (
+	carryPause = 25 * time.Millisecond
+	maxCarried = 4096
+)
+
+// carrier brings the renewals that reach a host which does not lead to the leader, many in one call, and learns with
+// each answer what the leader has committed. One call is under way as a rule; when it is late, a second one starts that
+// carries its renewals again, so that neither a silent connection nor a lost message holds them up.
+type carrier struct {
+	leader    agree.ReplicaID
+	waiting   []*carried
+	flights   []*flight
+	failed    bool
+	sentAt    time.Duration
+	wantedAt  time.Duration
+	confirmed confirmation
+}
+
+// carried is a renewal with what its answer is for; the first answer counts.
+type carried struct {
+	renewal  *table.Renewal
+	since    time.Duration
+	answer   func(*table.RenewalAnswer, error)
+	answered bool
+}
+
+func (c *carried) end(answer *table.RenewalAnswer, err error) {
+	if !c.answered {
+		c.answered = true
+		c.answer(answer, err)
+	}
+}
+
+// aged returns the renewal with the time that it was held here.
+func (c *carried) aged(now time.Duration) (r table.Renewal) {
+	r = *c.renewal
+	r.Announcements = table.Older(r.Announcements, now-c.since)
+	return r
+}
+
+// flight is one call to the leader.
+type flight struct {
+	list []*carried
+}
+
+// due reports whether a call to the leader is to be made now.
+func (c *carrier) due(now time.Duration) bool {
+	paused := now-c.sentAt >= carryPause
+	wanted := len(c.waiting) > 0 || c.wantedAt > c.confirmed.askedAt
+	switch len(c.flights) {
+	case 0:
+		return wanted && (paused || !c.failed)
+	case 1:
+		return paused
+	}
+	return false
+}
+
+// follow gives up the calls to an earlier leader; what they carry goes to the next.
+func (c *carrier) follow(leader agree.ReplicaID) {
+	if c.leader == leader {
+		return
+	}
+	c.waiting = c.load()
+	c.leader, c.flights, c.failed = leader, nil, false
+}
+
+// load returns what the next call carries: what waits, and what a late call carries and was not answered.
+func (c *carrier) load() (list []*carried) {
+	list, c.waiting = c.waiting, nil
+	for _, f := range c.flights {
+		for _, w := range f.list {
+			if !w.answered {
+				list = append(list, w)
+			}
+		}
+	}
+	return list
+}
+
+// confirmation tells that all up to an index was committed when a call to the leader was made.
+type confirmation struct {
+	askedAt time.Duration
+	index   uint64
+}
+
+// follows reports whether this host follows a leader that it knows.
+func (g *Group) follows() bool {
+	return g.core != nil && g.core.Role() != agree.Leader && g.leaderAddress() != ""
+}
+
+func (g *Group) leaderAddress() string {
+	r, _ := g.core.Members().Find(g.core.LeaderID())
+	return r.Address
+}
+
+// renew renews an entry host's lease and the leases of the upstreams that announced to it; a host that does not lead
+// carries the renewal to the leader.
+func (g *Group) renew(ctx context.Context, r *table.Renewal) (answer *table.RenewalAnswer, err error) {
+	ended := make(chan struct{})
+	end := func(a *table.RenewalAnswer, e error) {
+		answer, err = a, e
+		close(ended)
+	}
+	if doErr := g.do(ctx, func() { g.renewOrCarry(r, end) }); doErr != nil {
+		return nil, doErr
+	}
+	select {
+	case <-ended:
+		return answer, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-g.done:
+		return nil, g.stopped()
+	}
+}
+
+func (g *Group) renewOrCarry(r *table.Renewal, answer func(*table.RenewalAnswer, error)) {
+	if !g.follows() || len(g.carrier.waiting) >= maxCarried {
+		answer(g.renewNow(r))
+		return
+	}
+	g.carrier.waiting = append(g.carrier.waiting, &carried{renewal: r, since: g.now(), answer: answer})
+}
+
+// renewMany answers renewals that another control host carries, as the leader; none is carried on.
+func (g *Group) renewMany(ctx context.Context, b *table.RenewalBatch) (answer *table.RenewalBatchAnswer, err error) {
+	doErr := g.do(ctx, func() { answer, err = g.renewManyNow(b) })
+	if doErr != nil {
+		return nil, doErr
+	}
+	return answer, err
+}
+
+func (g *Group) renewManyNow(b *table.RenewalBatch) (answer *table.RenewalBatchAnswer, err error) {
+	if _, err = g.leading(); err != nil {
+		return nil, err
+	}
+	answer = &table.RenewalBatchAnswer{Commit: g.core.CommitIndex()}
+	for i := range b.Renewals {
+		a, err := g.renewNow(&b.Renewals[i])
+		if err != nil {
+			return nil, err
+		}
+		answer.Answers = append(answer.Answers, *a)
+	}
+	if _, err = g.leading(); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// carry sends what waits to the leader, where a call is due.
+func (g *Group) carry() {
+	c := &g.carrier
+	if !g.follows() {
+		g.giveUpCarrying()
+		return
+	}
+	c.follow(g.core.LeaderID())
+	now := g.now()
+	if !c.due(now) {
+		return
+	}
+	f := &flight{list: c.load()}
+	c.flights, c.sentAt = append(c.flights, f), now
+	b := &table.RenewalBatch{}
+	for _, w := range f.list {
+		b.Renewals = append(b.Renewals, w.aged(now))
+	}
+	g.peers.carry(g.leaderAddress(), b, func(answer *table.RenewalBatchAnswer, err error) { g.carriedBack(f, now, answer, err) })
+}
+
+// carriedBack passes the leader's answers on; it runs in the loop. A call that failed turns its renewals away unless
+// another one carries them still.
+func (g *Group) carriedBack(f *flight, sentAt time.Duration, answer *table.RenewalBatchAnswer, err error) {
+	c := &g.carrier
+	current := slices.Contains(c.flights, f)
+	c.flights = slices.DeleteFunc(c.flights, func(o *flight) bool { return o == f })
+	failed := err != nil || len(answer.Answers) != len(f.list)
+	if current {
+		c.failed = failed
+	}
+	if failed {
+		if current && len(c.flights) == 0 {
+			g.refuse(f.list)
+		}
+		return
+	}
+	if sentAt > c.confirmed.askedAt {
+		c.confirmed = confirmation{askedAt: sentAt, index: max(answer.Commit, c.confirmed.index)}
+	}
+	for i, w := range f.list {
+		w.end(&answer.Answers[i], nil)
+	}
+}
+
+// giveUpCarrying turns away what waits while there is no leader to carry it to, or answers it as the leader.
+func (g *Group) giveUpCarrying() {
+	g.carrier.follow(0)
+	list := g.carrier.load()
+	for _, w := range list {
+		w.end(g.renewNow(w.renewal))
+	}
+	wake(&g.watchers.words)
+}
+
+func (g *Group) refuse(list []*carried) {
+	for _, w := range list {
+		w.end(nil, g.notLeading())
+	}
+}
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -14,6 +14,7 @@
 	"ebonyrill.dev/ebonyrill/internal/control/store"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -54,9 +55,10 @@
 	Close() error
 }
 
-// sender brings messages to the other control hosts, or drops them.
+// sender brings messages to the other control hosts, or drops them, and makes calls to the leader.
 type sender interface {
 	send(agree.Members, []agree.Message)
+	carry(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error))
 	stop()
 }
 
@@ -74,8 +76,9 @@
 	requests chan func()
 	contacts map[agree.ReplicaID]string
 	waiters  map[uint64]waiter
-	watchers map[chan struct{}]bool
-	seen     uint64
+	watchers watchers
+	prepared preparedDeltas
+	carrier  carrier
 	role     agree.Role
 	stop     chan struct{}
 	done     chan struct{}
@@ -102,13 +105,18 @@
 		return nil, err
 	}
 	start := time.Now()
-	return assemble(o, d, newPeers(o.Client), func() time.Duration { return time.Since(start) + time.Millisecond })
+	p := newPeers(o.Client)
+	g, err = assemble(o, d, p, func() time.Duration { return time.Since(start) + time.Millisecond })
+	if err == nil {
+		p.later = g.later
+	}
+	return g, err
 }
 
 // assemble puts a control host together from its disk, its way to the others and its clock.
 func assemble(o Options, d disk, p sender, clock func() time.Duration) (g *Group, err error) {
 	g = &Group{options: o, store: d, peers: p, clock: clock, inbox: make(chan agree.Message, inboxLength),
-		requests: make(chan func(), requestsLength), contacts: map[agree.ReplicaID]string{}, waiters: map[uint64]waiter{}, watchers: map[chan struct{}]bool{},
+		requests: make(chan func(), requestsLength), contacts: map[agree.ReplicaID]string{}, waiters: map[uint64]waiter{},
 		stop: make(chan struct{}), done: make(chan struct{}), state: state.New()}
 	if g.store.Joined() {
 		return g, g.restore()
@@ -177,13 +185,24 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-g.done:
-		return &wire.ErrNoLeader{}
+		return g.stopped()
 	}
 	select {
 	case <-finished:
 		return nil
 	case <-g.done:
-		return &wire.ErrNoLeader{}
+		return g.stopped()
+	}
+}
+
+// stopped is the error of a call to a host that has ended.
+func (g *Group) stopped() error { return &wire.ErrNoLeader{} }
+
+// later runs a function in the loop, unless the loop ends before.
+func (g *Group) later(f func()) {
+	select {
+	case g.requests <- f:
+	case <-g.done:
 	}
 }
 
@@ -250,6 +269,7 @@
 	if g.core == nil {
 		return nil
 	}
+	g.carry()
 	out := g.core.Take()
 	if out.Install != nil {
 		if err = g.install(*out.Install); err != nil {
@@ -345,17 +365,6 @@
 	}
 }
 
-func (g *Group) wakeWatchers() {
-	if g.state.Version() == g.seen {
-		return
-	}
-	g.seen = g.state.Version()
-	for w := range g.watchers {
-		close(w)
-		delete(g.watchers, w)
-	}
-}
-
 // propose appends a command; it must run in the loop. The answer channel may be nil.
 func (g *Group) propose(c state.Command, answer chan proposalAnswer) (index uint64, err error) {
 	data, err := state.EncodeCommand(c)
@@ -377,8 +386,7 @@
 	if g.core == nil {
 		return &wire.ErrNoLeader{}
 	}
-	r, _ := g.core.Members().Find(g.core.LeaderID())
-	return &wire.ErrNoLeader{Leader: r.Address}
+	return &wire.ErrNoLeader{Leader: g.leaderAddress()}
 }
 
 // leading returns the leader's duties if the lease is valid at this very moment.
--- a/internal/control/group/peers.go
+++ b/internal/control/group/peers.go
@@ -7,6 +7,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -14,6 +15,7 @@
 const (
 	peerQueueLength  = 512
 	peerBatchLength  = 64
+	carryTimeout     = 150 * time.Millisecond
 	deliverTimeout   = 150 * time.Millisecond
 	snapshotTimeout  = 20 * time.Second
 	deliveriesAtOnce = 2
@@ -29,6 +31,7 @@
 	client *wire.Client
 	mutex  sync.Mutex
 	queues map[string]chan agree.Message
+	later  func(func())
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -104,3 +107,13 @@
 	defer cancel()
 	_, _ = wire.Call[batch, oper.Empty](ctx, p.client, address, oper.Deliver, &batch{Messages: messages})
 }
+
+// carry makes a call to the leader; done runs in the loop of the host.
+func (p *peers) carry(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(p.ctx, carryTimeout)
+		defer cancel()
+		answer, err := wire.Call[table.RenewalBatch, table.RenewalBatchAnswer](ctx, p.client, address, oper.RenewMany, b)
+		p.later(func() { done(answer, err) })
+	}()
+}
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -20,15 +20,13 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
-// maxWatchHold bounds how long a watch is held open.
-const maxWatchHold = 2 * time.Second
-
 // Serve adds the control host's procedures to the mux.
 func (g *Group) Serve(mux *http.ServeMux) {
 	wire.Handle(mux, oper.Deliver, g.deliver)
 	wire.Handle(mux, oper.Identify, g.identify)
 	wire.Handle(mux, oper.Bootstrap, g.bootstrap)
 	wire.Handle(mux, oper.Renew, g.renew)
+	wire.Handle(mux, oper.RenewMany, g.renewMany)
 	wire.Handle(mux, oper.Watch, g.watch)
 	wire.Handle(mux, oper.Publish, g.publish)
 	wire.Handle(mux, oper.Current, g.current)
@@ -89,15 +87,6 @@
 	return g.identity(), g.restore()
 }
 
-// renew renews an entry host's lease and the leases of the upstreams that announced to it.
-func (g *Group) renew(ctx context.Context, r *table.Renewal) (answer *table.RenewalAnswer, err error) {
-	doErr := g.do(ctx, func() { answer, err = g.renewNow(r) })
-	if doErr != nil {
-		return nil, doErr
-	}
-	return answer, err
-}
-
 func (g *Group) renewNow(r *table.Renewal) (answer *table.RenewalAnswer, err error) {
 	l, err := g.leading()
 	if err != nil {
@@ -204,47 +193,6 @@
 	}
 }
 
-// watch answers with what changed since a version, and waits a while where nothing did.
-func (g *Group) watch(ctx context.Context, w *table.Watch) (answer *table.Delta, err error) {
-	deadline := time.NewTimer(min(w.Hold, maxWatchHold))
-	defer deadline.Stop()
-	for last := false; ; {
-		var changed chan struct{}
-		doErr := g.do(ctx, func() { answer, changed, err = g.watchNow(w, last) })
-		if doErr != nil {
-			return nil, doErr
-		}
-		if err != nil || answer != nil {
-			return answer, err
-		}
-		select {
-		case <-changed:
-		case <-deadline.C:
-			last = true
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// watchNow returns the delta, or a channel that closes on the next change.
-func (g *Group) watchNow(w *table.Watch, last bool) (answer *table.Delta, changed chan struct{}, err error) {
-	if _, err = g.leading(); err != nil {
-		return nil, nil, err
-	}
-	current := w.Version == g.state.Version() && w.Digest == g.state.Digest()
-	if current && !last {
-		changed = make(chan struct{})
-		g.watchers[changed] = true
-		return nil, changed, nil
-	}
-	delta := g.state.DeltaSince(w.Version, w.Digest)
-	if _, err = g.leading(); err != nil {
-		return nil, nil, err
-	}
-	return &delta, nil, nil
-}
-
 // publishID is the form of a publish id: time of day first, so that ids sort by age.
 var publishID = regexp.MustCompile(`^\d{8}T\d{6}\.\d{3}Z-[A-Za-z0-9_-]{4,40}$`)
 
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -180,6 +180,21 @@
 	}
 }
 
+// carry implements sender; an answer that comes after the process ended reaches nobody.
+func (h *fakeHost) carry(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error)) {
+	life := h.life
+	call := func(g *Group, answer func(*table.RenewalBatchAnswer, error)) { answer(g.renewManyNow(b)) }
+	ask(h.world, h.name, h.world.host(address), call, func(a *table.RenewalBatchAnswer, err error) {
+		if h.life != life || h.down {
+			return
+		}
+		h.step(func(*Group) error {
+			done(a, err)
+			return nil
+		})
+	})
+}
+
 func (h *fakeHost) stop() {}
 
 func (w *world) host(name string) *fakeHost {
@@ -216,7 +231,7 @@
 
 // ask performs a call from a node at a host and brings the answer back, both by way of the network; without an answer
 // in time the node hears of a timeout.
-func ask[T any](w *world, from string, h *fakeHost, call func(*Group) (T, error), answer func(T, error)) {
+func ask[T any](w *world, from string, h *fakeHost, call func(*Group, func(T, error)), answer func(T, error)) {
 	ended := false
 	end := func(result T, err error) {
 		if !ended {
@@ -232,13 +247,10 @@
 		if h.down {
 			return
 		}
-		var result T
-		var err error
 		h.step(func(g *Group) error {
-			result, err = call(g)
+			call(g, func(result T, err error) { w.stage.send(h.name, from, func() { end(result, err) }) })
 			return nil
 		})
-		w.stage.send(h.name, from, func() { end(result, err) })
 	})
 }
 
@@ -298,6 +310,12 @@
 	e.renewAt(r, e.clock.now(), e.life, 0, answer)
 }
 
+// aged returns the renewal with the time since it was made.
+func (e *fakeEntry) aged(r table.Renewal, since time.Duration) table.Renewal {
+	r.Announcements = table.Older(r.Announcements, e.clock.now()-since)
+	return r
+}
+
 // renewTries is how many hosts a renewal is tried at.
 const renewTries = 6
 
@@ -305,12 +323,13 @@
 func (e *fakeEntry) renewAt(r table.Renewal, sentAt time.Duration, life, tries int, answer func(table.GrantAnswer)) {
 	tried := e.control
 	h := e.world.hosts[tried%len(e.world.hosts)]
-	ask(e.world, e.name, h, func(g *Group) (*table.RenewalAnswer, error) { return g.renewNow(&r) }, func(got *table.RenewalAnswer, err error) {
+	sent := e.aged(r, sentAt)
+	ask(e.world, e.name, h, func(g *Group, answer func(*table.RenewalAnswer, error)) { g.renewOrCarry(&sent, answer) }, func(got *table.RenewalAnswer, err error) {
 		if e.life != life {
 			return
 		}
 		if err != nil {
-			e.follow(tried, err)
+			e.turn(tried, err)
 			if tries < renewTries {
 				e.renewAt(r, sentAt, life, tries+1, answer)
 			}
@@ -325,8 +344,8 @@
 	})
 }
 
-// follow turns away from a host that did not help, to the one that it points to or else to the next.
-func (e *fakeEntry) follow(tried int, err error) {
+// turn goes away from a host that did not help, to the one that it points to or else to the next.
+func (e *fakeEntry) turn(tried int, err error) {
 	if e.control != tried {
 		return
 	}
@@ -350,10 +369,7 @@
 	askedAt, held := e.world.now, e.view
 	q := &table.Watch{Name: e.name, Version: held.Version(), Digest: held.Digest()}
 	h := e.world.hosts[e.control%len(e.world.hosts)]
-	ask(e.world, e.name, h, func(g *Group) (*table.Delta, error) {
-		d, _, err := g.watchNow(q, true)
-		return d, err
-	}, func(d *table.Delta, err error) {
+	ask(e.world, e.name, h, func(g *Group, answer func(*table.Delta, error)) { h.watch(q, g.now(), h.life, answer) }, func(d *table.Delta, err error) {
 		if err != nil || e.life != life || e.view != held {
 			return
 		}
@@ -366,6 +382,30 @@
 	})
 }
 
+// watchPoll is how often a watch that waits looks again, and watchPatience how long it waits.
+const (
+	watchPoll     = 5 * time.Millisecond
+	watchPatience = 50 * time.Millisecond
+)
+
+// watch answers a watch once this host is up to date.
+func (h *fakeHost) watch(q *table.Watch, arrived time.Duration, life int, answer func(*table.Delta, error)) {
+	last := h.group.now()-arrived > watchPatience
+	p, _, err := h.group.watchNow(q, arrived, last)
+	switch {
+	case err != nil:
+		answer(nil, err)
+	case p != nil:
+		answer(p.delta, nil)
+	default:
+		h.world.in(h.name, watchPoll, func() {
+			if h.life == life && !h.down {
+				h.watch(q, arrived, life, answer)
+			}
+		})
+	}
+}
+
 // adopt holds that a configuration never reverts and that what an operator was told before the question is in it.
 func (e *fakeEntry) adopt(next *table.View, askedAt time.Duration) {
 	if next.Config().Version < e.view.Config().Version {
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,7 @@
 // pendingAnnouncement is an announcement that waits for the next renewal.
 type pendingAnnouncement struct {
 	announcement table.Announcement
+	since        time.Time
 	answer       chan table.GrantAnswer
 }
 
@@ -108,7 +110,7 @@
 
 // pass brings an announcement to control with the next renewal.
 func (f *Follower) pass(ctx context.Context, a table.Announcement) (g table.GrantAnswer, err error) {
-	p := pendingAnnouncement{announcement: a, answer: make(chan table.GrantAnswer, 1)}
+	p := pendingAnnouncement{announcement: a, since: time.Now(), answer: make(chan table.GrantAnswer, 1)}
 	f.mutex.Lock()
 	if len(f.pending) >= maxAnnouncements {
 		f.mutex.Unlock()
@@ -159,7 +161,9 @@
 	ctx, cancel := context.WithTimeout(ctx, renewBound)
 	defer cancel()
 	sentAt := time.Now()
-	answer, err := wire.CallLeader[table.Renewal, table.RenewalAnswer](ctx, f.options.Hosts, renewTry, oper.Renew, &r)
+	answer, err := wire.CallLeaderAnew[table.Renewal, table.RenewalAnswer](ctx, f.options.Hosts, renewTry, oper.Renew, func() *table.Renewal {
+		return aged(r, pending)
+	})
 	f.noteControl(err)
 	if err != nil {
 		return
@@ -175,6 +179,16 @@
 	}
 }
 
+// aged returns the renewal with the time that each announcement was held here.
+func aged(r table.Renewal, pending []pendingAnnouncement) *table.Renewal {
+	now := time.Now()
+	r.Announcements = slices.Clone(r.Announcements)
+	for i := range r.Announcements {
+		r.Announcements[i].Age = table.Age(now.Sub(pending[i].since))
+	}
+	return &r
+}
+
 func (f *Follower) renewal(pending []pendingAnnouncement) (r table.Renewal) {
 	r = table.Renewal{Host: f.options.Host, Applied: f.options.Table.View().Version(), Oldest: f.options.Table.Oldest(),
 		Leaving: f.leaving.Load()}
@@ -252,10 +266,10 @@
 	}
 }
 
-// Leader returns the address where the leader answered last, or any control host's.
-func (f *Follower) Leader() string {
-	if leader := f.options.Hosts.Leader(); leader != "" {
-		return leader
+// Control returns the address of the control host that answered last, or any.
+func (f *Follower) Control() string {
+	if last := f.options.Hosts.Last(); last != "" {
+		return last
 	}
 	return f.options.Hosts.Addresses()[0]
 }
--- a/internal/ops/daemon/peers.go
+++ b/internal/ops/daemon/peers.go
@@ -41,7 +41,7 @@
 
 func redirect[Req, Res any](d *Daemon, mux *http.ServeMux, procedure string, _ Req, _ Res) {
 	wire.Handle(mux, procedure, func(context.Context, *Req) (*Res, error) {
-		return nil, &wire.ErrNoLeader{Leader: d.follower.Leader()}
+		return nil, &wire.ErrNoLeader{Leader: d.follower.Control()}
 	})
 }
 
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -13,6 +13,7 @@
 	Identify  = "/ebonyrill.v1.Group/Identify"
 	Bootstrap = "/ebonyrill.v1.Group/Bootstrap"
 	Renew     = "/ebonyrill.v1.Control/Renew"
+	RenewMany = "/ebonyrill.v1.Control/RenewMany"
 	Watch     = "/ebonyrill.v1.Control/Watch"
 	Publish   = "/ebonyrill.v1.Operators/Publish"
 	Current   = "/ebonyrill.v1.Operators/Current"
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -1,6 +1,9 @@
 package table
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Announcement is what an upstream says of itself, again and again.
 type Announcement struct {
@@ -18,6 +21,30 @@
 	Leaving         bool    `cbor:"12,keyasint" json:"leaving"`
 	Healthy         bool    `cbor:"13,keyasint" json:"healthy"`
 	Load            float64 `cbor:"14,keyasint" json:"load"`
+	Age             Age     `cbor:"15,keyasint,omitempty" json:"-"`
+}
+
+// Age is how long our own hosts have held an announcement, by their clocks.
+type Age time.Duration
+
+// Parts of an age that surely passed, whatever the drift of the clocks that measured it.
+const (
+	sureAgeNumerator   = 9
+	sureAgeDenominator = 10
+)
+
+// Sure returns the part of the age that has passed by every clock.
+func (a Age) Sure() time.Duration {
+	return time.Duration(max(a, 0)) * sureAgeNumerator / sureAgeDenominator
+}
+
+// Older returns a copy of the announcements that were held for another while.
+func Older(list []Announcement, held time.Duration) []Announcement {
+	older := slices.Clone(list)
+	for i := range older {
+		older[i].Age += Age(held)
+	}
+	return older
 }
 
 // GrantStatus tells an upstream how its announcement was met.
@@ -100,6 +127,17 @@
 	Grants      []GrantAnswer `cbor:"4,keyasint,omitempty"`
 }
 
+// RenewalBatch holds renewals that a control host carries to the leader.
+type RenewalBatch struct {
+	Renewals []Renewal `cbor:"1,keyasint,omitempty"`
+}
+
+// RenewalBatchAnswer answers a batch in its order; Commit is the last log index that was committed.
+type RenewalBatchAnswer struct {
+	Answers []RenewalAnswer `cbor:"1,keyasint,omitempty"`
+	Commit  uint64          `cbor:"2,keyasint"`
+}
+
 // Watch asks for what changed since a version and waits up to Hold for a change.
 type Watch struct {
 	Name    string        `cbor:"1,keyasint"`
--- a/internal/shared/wire/leader.go
+++ b/internal/shared/wire/leader.go
@@ -14,8 +14,13 @@
 // leaderHeader carries the address of the leader in the answer of a host that does not lead.
 const leaderHeader = "Ebonyrill-Leader"
 
-// retryPause is the pause after all control hosts were tried in vain.
-const retryPause = 40 * time.Millisecond
+// Times of finding a host that answers; one is kept for a time that differs between processes, so that they spread over
+// all control hosts again after some were down.
+const (
+	retryPause  = 40 * time.Millisecond
+	shortestUse = 2 * time.Minute
+	longestUse  = 4 * time.Minute
+)
 
 // ErrNoLeader is returned by a host that cannot answer because it does not lead; Leader is the address it follows.
 type ErrNoLeader struct {
@@ -33,12 +38,14 @@
 // Code returns the code that crosses the wire.
 func (e *ErrNoLeader) Code() connect.Code { return connect.CodeUnavailable }
 
-// Hosts finds the control leader among a list of addresses and remembers it.
+// Hosts finds a control host that answers among a list of addresses and remembers it: the leader, or for renewals and
+// watches any host that follows it.
 type Hosts struct {
 	client    *Client
 	addresses []string
 	mutex     sync.Mutex
-	leader    string
+	last      string
+	until     time.Time
 }
 
 // NewHosts returns a finder over the peer addresses.
@@ -52,24 +59,29 @@
 // Addresses returns the peer addresses that were given.
 func (h *Hosts) Addresses() []string { return slices.Clone(h.addresses) }
 
-// Leader returns the address that answered as leader last, or an empty text.
-func (h *Hosts) Leader() string {
+// Last returns the address that answered last, or an empty text.
+func (h *Hosts) Last() string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.leader
+	if time.Now().After(h.until) {
+		h.last = ""
+	}
+	return h.last
 }
 
-// Remember notes where the leader is thought to be; an empty text forgets it.
+// Remember notes which address answers; an empty text forgets it.
 func (h *Hosts) Remember(address string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.leader = address
+	if h.last != address {
+		h.last, h.until = address, time.Now().Add(shortestUse+rand.N(longestUse-shortestUse))
+	}
 }
 
-// order returns the addresses to try: the remembered leader, then the others by chance.
+// order returns the addresses to try: the remembered one, then the others by chance.
 func (h *Hosts) order() (list []string) {
-	if leader := h.Leader(); leader != "" {
-		list = append(list, leader)
+	if last := h.Last(); last != "" {
+		list = append(list, last)
 	}
 	for _, i := range rand.Perm(len(h.addresses)) {
 		if !slices.Contains(list, h.addresses[i]) {
@@ -79,9 +91,14 @@
 	return list
 }
 
-// CallLeader performs an idempotent procedure at the leader, looking for it until the context ends; each try is bounded
-// by perTry.
+// CallLeader performs an idempotent procedure at the leader, or at a host that answers in its place, looking for it until
+// the context ends; each try is bounded by perTry.
 func CallLeader[Req, Res any](ctx context.Context, h *Hosts, perTry time.Duration, procedure string, request *Req) (answer *Res, err error) {
+	return CallLeaderAnew[Req, Res](ctx, h, perTry, procedure, func() *Req { return request })
+}
+
+// CallLeaderAnew does what CallLeader does with a request that is made anew for each try.
+func CallLeaderAnew[Req, Res any](ctx context.Context, h *Hosts, perTry time.Duration, procedure string, request func() *Req) (answer *Res, err error) {
 	for ctx.Err() == nil {
 		var final bool
 		if answer, final, err = callRound[Req, Res](ctx, h, perTry, procedure, request); final {
@@ -99,12 +116,12 @@
 }
 
 // callRound tries each address once and follows hints; final tells that the answer or the error is the leader's own.
-func callRound[Req, Res any](ctx context.Context, h *Hosts, perTry time.Duration, procedure string, request *Req) (answer *Res, final bool, err error) {
+func callRound[Req, Res any](ctx context.Context, h *Hosts, perTry time.Duration, procedure string, request func() *Req) (answer *Res, final bool, err error) {
 	list := h.order()
 	limit := len(list) + 2
 	for i := 0; i < len(list) && i < limit && ctx.Err() == nil; i++ {
 		tryCtx, cancel := context.WithTimeout(ctx, perTry)
-		answer, err = Call[Req, Res](tryCtx, h.client, list[i], procedure, request)
+		answer, err = Call[Req, Res](tryCtx, h.client, list[i], procedure, request())
 		cancel()
 		if err == nil {
 			h.Remember(list[i])
@@ -113,7 +130,7 @@
 		if answered(err) {
 			return nil, true, err
 		}
-		if h.Leader() == list[i] {
+		if h.Last() == list[i] {
 			h.Remember("")
 		}
 		if hint := leaderHint(err); hint != "" && !slices.Contains(list, hint) {
--- a/internal/shared/wire/wire.go
+++ b/internal/shared/wire/wire.go
@@ -38,6 +38,17 @@
 // Unmarshal decodes a message or a state; bytes left over are an error.
 func Unmarshal(data []byte, v any) error { return decoding.Unmarshal(data, v) }
 
+// Encoded is a message that was encoded before, for an answer that many callers get.
+type Encoded struct {
+	bytes []byte
+}
+
+// Encode encodes a message once.
+func Encode(v any) (e *Encoded, err error) {
+	data, err := Marshal(v)
+	return &Encoded{bytes: data}, err
+}
+
 // codec encodes Connect bodies as CBOR.
 type codec struct{}
 
@@ -45,7 +56,12 @@
 func (codec) Name() string { return "cbor" }
 
 // Marshal encodes a body.
-func (codec) Marshal(v any) ([]byte, error) { return Marshal(v) }
+func (codec) Marshal(v any) ([]byte, error) {
+	if e, ok := v.(*Encoded); ok {
+		return e.bytes, nil
+	}
+	return Marshal(v)
+}
 
 // Unmarshal decodes a body.
 func (codec) Unmarshal(data []byte, v any) error { return Unmarshal(data, v) }
--- a/internal/shared/wire/wire_test.go
+++ b/internal/shared/wire/wire_test.go
@@ -95,7 +95,7 @@
 	answer, err := CallLeader[ping, ping](ctx, h, time.Second, procedure, &ping{Text: "a"})
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.Text, qt.Equals, "a!")
-	c.Assert(h.Leader(), qt.Equals, leader)
+	c.Assert(h.Last(), qt.Equals, leader)
 }
 
 // refusal is an answer of a leader that no retry changes.
