wire: no compression by the library, shared messages stay whole; status and grants in one pass; a crowd of stand-ins

Cause, by a processor profile: Connect compressed every answer with gzip by itself, 83% of a control host's time. It is taken out on both sides.

Connect takes the bytes of an answer for later answers, so that a delta encoded once for all was written over. TestSharedMessageStaysWhole fails without the copy.

Status went through all slices once for each upstream, in the control loop: 256 million steps at the size to design for, long enough to lose the leadership; grants did so for each upstream that asks after a loss. Both take one pass now. New metrics: ebonyrill_control_sent_bytes_total, ebonyrill_control_received_bytes_total.

--- /dev/null
+++ b/_scripts/crowd.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Starts control hosts on loopback, and entry hosts and upstreams as stand-ins in one process, and prints what these cost
+# the control hosts. Ends all that it started. CONTROL, ENTRIES, UPSTREAMS and DURATION set the size; BIN the programs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin="${BIN:-$PWD/bin}"
+work="$(mktemp -d)"
+pids=()
+
+end_all() {
+  for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
+  for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
+  [ -n "${KEEP:-}" ] && cp -r "$work" "$KEEP"
+  rm -rf "$work"
+}
+trap end_all EXIT
+
+control="${CONTROL:-5}"
+port="$(bin/ebonyrill-load ports --count $((control * 3)))"
+addresses=""
+admins=""
+for i in $(seq "$control"); do
+  base=$((port + (i - 1) * 3))
+  addresses="$addresses${addresses:+,}127.0.0.$i:$((base + 1))"
+  admins="$admins${admins:+,}127.0.0.$i:$((base + 2))"
+done
+for i in $(seq "$control"); do
+  base=$((port + (i - 1) * 3))
+  {
+    printf '[host]\nname = control%d\ndataCentre = centre-%d\n' "$i" $(((i - 1) % 7))
+    printf '[listen]\ncallers = 127.0.0.%d:%d\npeers = 127.0.0.%d:%d\nadmin = 127.0.0.%d:%d\n' "$i" "$base" "$i" $((base + 1)) "$i" $((base + 2))
+    printf '[control]\naddresses = %s\ndataFolder = %s/data%d\n' "$addresses" "$work" "$i"
+    printf '[drain]\nnotice = 100ms\nbound = 1s\n'
+  } >"$work/host$i.ini"
+  "$bin/ebonyrilld" run --settings "$work/host$i.ini" >"$work/host$i.log" 2>&1 &
+  pids+=("$!")
+done
+export EBONYRILL_HOSTS="$addresses"
+for _ in $(seq 50); do
+  "$bin/ebonyrill" hosts init >/dev/null 2>&1 && break
+  sleep 0.1
+done
+mkdir "$work/services"
+printf '[service]\nname = crowd\nprefix = /crowd\nkey = path:2\nslices = %d\n' "${SLICES:-8192}" >"$work/services/crowd.ebonyrill.ini"
+"$bin/ebonyrill" publish "$work/services" >/dev/null 2>&1
+leader="$("$bin/ebonyrill" status | awk '$4 == "leader" {print $1}')"
+echo "control hosts: $control, leader $leader; entry hosts: ${ENTRIES:-100}, upstreams: ${UPSTREAMS:-300}"
+bin/ebonyrill-load crowd --control "$addresses" --admins "$admins" --entries "${ENTRIES:-100}" --upstreams "${UPSTREAMS:-300}" \
+  --duration "${DURATION:-10s}" --file "$work/services/crowd.ebonyrill.ini"
+"$bin/ebonyrill" status | tail -2
--- a/cmd/ebonyrill-load/main.go
+++ b/cmd/ebonyrill-load/main.go
@@ -90,6 +90,29 @@
 	return nil
 }
 
+// crowdCommand measures control hosts under many entry hosts and upstreams.
+type crowdCommand struct {
+	Control   string        `long:"control" required:"yes" description:"peer addresses of control hosts, separated by commas"`
+	Admins    string        `long:"admins" required:"yes" description:"admin addresses of control hosts, separated by commas"`
+	Entries   int           `long:"entries" default:"100" description:"entry hosts"`
+	Upstreams int           `long:"upstreams" default:"300" description:"upstreams"`
+	Duration  time.Duration `long:"duration" default:"10s" description:"how long"`
+	Service   string        `long:"service" default:"crowd" description:"service of the upstreams"`
+	File      string        `long:"file" required:"yes" description:"service file, published again at the end with a comment added"`
+}
+
+// Execute runs the crowd and prints what it cost.
+func (c *crowdCommand) Execute([]string) (err error) {
+	o := drive.CrowdOptions{Control: strings.Split(c.Control, ","), Admins: strings.Split(c.Admins, ","), Entries: c.Entries,
+		Upstreams: c.Upstreams, Duration: c.Duration, Service: c.Service}
+	r, err := drive.RunCrowd(o, func() (uint64, error) { return drive.PublishAgain(o.Control, c.File) })
+	if err != nil {
+		return err
+	}
+	r.Print(os.Stdout)
+	return nil
+}
+
 func readJSON(name string, into any) error {
 	data, err := os.ReadFile(name)
 	if err != nil {
@@ -103,7 +126,7 @@
 	for _, c := range []struct {
 		name string
 		data any
-	}{{"ports", &portsCommand{}}, {"run", &runCommand{}}, {"verify", &verifyCommand{}}} {
+	}{{"ports", &portsCommand{}}, {"run", &runCommand{}}, {"verify", &verifyCommand{}}, {"crowd", &crowdCommand{}}} {
 		if _, err := p.AddCommand(c.name, c.name, "", c.data); err != nil {
 			panic(err)
 		}
--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -74,6 +74,7 @@
 	entries    map[string]*entryLease
 	ghostsGone time.Duration
 	handovers  map[sliceName]*handover
+	grants     grantIndex
 }
 
 // NewKeeper returns the leases of a leader that took over at now: all are live for one full lease time, and a request
@@ -189,28 +190,11 @@
 	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, k.terms.lease.Milliseconds(), u.GrantsVersion
 	g.Draining = s.Drained(u)
 	if a.Held != u.GrantsVersion {
-		g.Changed, g.Grants = true, GrantsOf(s, u)
+		g.Changed, g.Grants = true, k.grants.of(s, u)
 	}
 	return g
 }
 
-// GrantsOf returns the runs of hashes that the upstream owns now; a slice that is being handed over is left out.
-func GrantsOf(s *state.State, u table.Upstream) (grants []table.Grant) {
-	set, _ := s.Table(u.Service)
-	for i := range set.Len() {
-		e := set.At(i)
-		if e.Owner != u.Number || e.Moving() {
-			continue
-		}
-		if n := len(grants); n > 0 && grants[n-1].Fence == e.Fence && grants[n-1].To+1 == e.Start {
-			grants[n-1].To = set.Last(i)
-			continue
-		}
-		grants = append(grants, table.Grant{From: e.Start, To: set.Last(i), Fence: e.Fence})
-	}
-	return grants
-}
-
 // Live reports whether the upstream's lease may still be running.
 func (k *Keeper) Live(now time.Duration, number uint32) bool {
 	l := k.upstreams[number]
--- a/internal/control/group/carry.go
+++ b/internal/control/group/carry.go
@@ -11,18 +11,18 @@
 
 // Bounds of carrying.
 const (
-	carryPause = 25 * time.Millisecond
+	carryGap   = 15 * time.Millisecond
+	carryLate  = 30 * time.Millisecond
 	maxCarried = 4096
 )
 
 // carrier brings the renewals that reach a host which does not lead to the leader, many in one call, and learns with
-// each answer what the leader has committed. One call is under way as a rule; when it is late, a second one starts that
+// each answer what the leader has committed. Calls keep a gap, and one is under way as a rule; when it is late, a second one starts that
 // carries its renewals again, so that neither a silent connection nor a lost message holds them up.
 type carrier struct {
 	leader    agree.ReplicaID
 	waiting   []*carried
 	flights   []*flight
-	failed    bool
 	sentAt    time.Duration
 	wantedAt  time.Duration
 	confirmed confirmation
@@ -57,13 +57,13 @@
 
 // due reports whether a call to the leader is to be made now.
 func (c *carrier) due(now time.Duration) bool {
-	paused := now-c.sentAt >= carryPause
-	wanted := len(c.waiting) > 0 || c.wantedAt > c.confirmed.askedAt
+	since := now - c.sentAt
 	switch len(c.flights) {
 	case 0:
-		return wanted && (paused || !c.failed)
+		wanted := len(c.waiting) > 0 || c.wantedAt > c.confirmed.askedAt
+		return wanted && since >= carryGap
 	case 1:
-		return paused
+		return since >= carryLate
 	}
 	return false
 }
@@ -74,7 +74,7 @@
 		return
 	}
 	c.waiting = c.load()
-	c.leader, c.flights, c.failed = leader, nil, false
+	c.leader, c.flights = leader, nil
 }
 
 // load returns what the next call carries: what waits, and what a late call carries and was not answered.
@@ -189,11 +189,7 @@
 	c := &g.carrier
 	current := slices.Contains(c.flights, f)
 	c.flights = slices.DeleteFunc(c.flights, func(o *flight) bool { return o == f })
-	failed := err != nil || len(answer.Answers) != len(f.list)
-	if current {
-		c.failed = failed
-	}
-	if failed {
+	if err != nil || len(answer.Answers) != len(f.list) {
 		if current && len(c.flights) == 0 {
 			g.refuse(f.list)
 		}
--- a/internal/control/group/status.go
+++ b/internal/control/group/status.go
@@ -56,34 +56,39 @@
 
 func (g *Group) statusUpstreams(l *lead, answer *oper.StatusAnswer) {
 	now := g.now()
-	for _, u := range g.state.Upstreams() {
-		s := oper.UpstreamStatus{Upstream: u, Live: l.keeper.Live(now, u.Number), Draining: g.state.Drained(u)}
-		if set, ok := g.state.Table(u.Service); ok {
-			g.statusSlices(l, u, set, &s)
-		}
-		answer.Upstreams = append(answer.Upstreams, s)
-	}
-	for _, v := range g.state.Services() {
-		if d := l.services[v.Name()]; d != nil {
+	holdings := map[uint32]holding{}
+	for _, name := range g.state.TableNames() {
+		set, _ := g.state.Table(name)
+		rates := make([]float64, set.Len())
+		if d := l.services[name]; d != nil {
 			answer.Unowned += d.orphans
+			rates = d.loads.Rates(now, set)
 		}
+		addHoldings(holdings, set, rates)
+	}
+	for _, u := range g.state.Upstreams() {
+		h := holdings[u.Number]
+		answer.Upstreams = append(answer.Upstreams, oper.UpstreamStatus{Upstream: u, Live: l.keeper.Live(now, u.Number),
+			Draining: g.state.Drained(u), Slices: h.slices, Share: h.share, Rate: h.rate})
 	}
 }
 
-func (g *Group) statusSlices(l *lead, u table.Upstream, set slice.Set, s *oper.UpstreamStatus) {
-	var rates []float64
-	if d := l.services[u.Service]; d != nil {
-		rates = d.loads.Rates(g.now(), set)
-	}
+// holding is what an upstream owns of its service: slices, the share of the key space, and requests a second.
+type holding struct {
+	slices int
+	share  float64
+	rate   float64
+}
+
+// addHoldings counts each slice for its owner, in one pass.
+func addHoldings(holdings map[uint32]holding, set slice.Set, rates []float64) {
 	for i := range set.Len() {
-		if set.At(i).Owner != u.Number {
-			continue
-		}
-		s.Slices++
-		s.Share += set.Share(i)
-		if rates != nil {
-			s.Rate += rates[i]
-		}
+		owner := set.At(i).Owner
+		h := holdings[owner]
+		h.slices++
+		h.share += set.Share(i)
+		h.rate += rates[i]
+		holdings[owner] = h
 	}
 }
 
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -40,6 +40,11 @@
 	gauge := func(name, help string, value func() float64) {
 		d.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
+	counter := func(name, help string, value func() int64) {
+		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
+	}
+	counter("ebonyrill_control_sent_bytes_total", "Bytes sent in calls to control hosts.", d.client.Traffic().Sent)
+	counter("ebonyrill_control_received_bytes_total", "Bytes received in answers of control hosts.", d.client.Traffic().Received)
 	gauge("ebonyrill_table_version", "Version of the table in force.", func() float64 { return float64(d.table.View().Version()) })
 	gauge("ebonyrill_config_version", "Version of the configuration in force.", func() float64 {
 		return float64(d.table.View().Config().Version)
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -52,6 +52,7 @@
 	follower *follow.Follower
 	relay    *relay.Handler
 	registry *prometheus.Registry
+	client   *wire.Client
 	callers  *http.Server
 	peers    *http.Server
 	admin    *http.Server
@@ -70,11 +71,11 @@
 	if err = d.secure(); err != nil {
 		return nil, err
 	}
-	client := wire.NewClient(d.security)
-	if err = d.openGroup(client); err != nil {
+	d.client = wire.NewClient(d.security)
+	if err = d.openGroup(); err != nil {
 		return nil, err
 	}
-	d.openEntry(client)
+	d.openEntry()
 	d.servers()
 	return d, nil
 }
@@ -89,24 +90,24 @@
 	return err
 }
 
-func (d *Daemon) openGroup(client *wire.Client) (err error) {
+func (d *Daemon) openGroup() (err error) {
 	if d.settings.DataFolder() == "" {
 		return nil
 	}
 	d.group, err = group.Open(group.Options{Name: d.settings.Name(), Address: d.settings.Peers(),
-		DataCentre: d.settings.DataCentre(), Folder: d.settings.DataFolder(), Timing: agree.DefaultTiming(), Client: client,
+		DataCentre: d.settings.DataCentre(), Folder: d.settings.DataFolder(), Timing: agree.DefaultTiming(), Client: d.client,
 		Terms: grant.NewTerms(d.settings.LeaseTime(), d.settings.MaxHold()), Log: d.log})
 	return err
 }
 
-func (d *Daemon) openEntry(client *wire.Client) {
+func (d *Daemon) openEntry() {
 	d.table = route.NewTable(d.settings.Name(), d.settings.MaxParked())
 	d.tally = tally.New(d.registry)
 	host := table.EntryHost{Name: d.settings.Name(), Incarnation: uint64(time.Now().UnixNano()),
 		Address: d.settings.Peers(), DataCentre: d.settings.DataCentre()}
-	d.follower = follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(client, d.settings.Control()),
+	d.follower = follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(d.client, d.settings.Control()),
 		Lease: d.settings.LeaseTime(), Table: d.table, Tally: d.tally, Log: d.log})
-	d.relay = relay.NewHandler(relay.Options{Name: d.settings.Name(), Table: d.table, Scheme: client.Scheme(),
+	d.relay = relay.NewHandler(relay.Options{Name: d.settings.Name(), Table: d.table, Scheme: d.client.Scheme(),
 		Security: d.security, MaxBody: int64(d.settings.MaxBodyBytes()), MaxHeader: d.settings.MaxHeaderBytes(), MaxHold: d.settings.MaxHold(),
 		Lease: d.follower.LeaseEnd, Observer: d.tally, Log: d.log})
 }
--- a/internal/shared/wire/transport.go
+++ b/internal/shared/wire/transport.go
@@ -18,9 +18,25 @@
 	keepAliveProbes = 3
 )
 
+// Traffic counts the bytes of connections, below TLS.
+type Traffic struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Sent returns the bytes written.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Received returns the bytes read.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
 // NewTransport returns a transport that counts what it writes, keeps idle connections for a time and never asks for
 // compression; a nil Security means plain text.
 func NewTransport(security *Security, idle time.Duration, idlePerHost int) *http.Transport {
+	return newTransport(security, idle, idlePerHost, &Traffic{})
+}
+
+func newTransport(security *Security, idle time.Duration, idlePerHost int, traffic *Traffic) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod,
 		Interval: keepAlivePeriod, Count: keepAliveProbes}}
 	t := &http.Transport{
@@ -29,7 +45,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c}, nil
+			return &countedConn{Conn: c, traffic: traffic}, nil
 		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idle,
@@ -44,14 +60,23 @@
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	traffic *Traffic
 }
 
 // Write counts before it writes, so that a write that is under way counts as well.
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
+	c.traffic.sent.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
 
+// Read counts what was read.
+func (c *countedConn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
 // Sent knows whether any byte of a request went out on the connections that it used.
 type Sent struct {
 	mutex   sync.Mutex
--- a/internal/shared/wire/wire.go
+++ b/internal/shared/wire/wire.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,6 +19,10 @@
 // versionHeader names the version that a call speaks.
 const versionHeader = "Ebonyrill-Wire"
 
+// compression names what Connect would compress bodies with by itself; it is taken out on both sides, as hashes do not
+// compress and the rest is small.
+const compression = "gzip"
+
 // Limits of calls between processes.
 const (
 	maxMessageBytes  = 64 << 20
@@ -55,10 +60,10 @@
 // Name returns the codec's name in content types.
 func (codec) Name() string { return "cbor" }
 
-// Marshal encodes a body.
+// Marshal encodes a body; Connect writes over the bytes later, so that those of a shared message are copied.
 func (codec) Marshal(v any) ([]byte, error) {
 	if e, ok := v.(*Encoded); ok {
-		return e.bytes, nil
+		return slices.Clone(e.bytes), nil
 	}
 	return Marshal(v)
 }
@@ -68,19 +73,24 @@
 
 // Client calls other processes.
 type Client struct {
-	http   *http.Client
-	scheme string
+	http    *http.Client
+	scheme  string
+	traffic *Traffic
 }
 
 // NewClient returns a client; a nil Security means plain text.
 func NewClient(security *Security) *Client {
-	c := &Client{scheme: "http", http: &http.Client{Transport: NewTransport(security, idleTimeout, idlePerHost)}}
+	c := &Client{scheme: "http", traffic: &Traffic{}}
+	c.http = &http.Client{Transport: newTransport(security, idleTimeout, idlePerHost, c.traffic)}
 	if security != nil {
 		c.scheme = "https"
 	}
 	return c
 }
 
+// Traffic returns the bytes of all calls.
+func (c *Client) Traffic() *Traffic { return c.traffic }
+
 // Scheme returns the URL scheme for peers.
 func (c *Client) Scheme() string { return c.scheme }
 
@@ -89,7 +99,7 @@
 func Call[Req, Res any](ctx context.Context, c *Client, address, procedure string, request *Req) (answer *Res, err error) {
 	defer func() { err = errors.WithMessagef(err, "call %s at %s", procedure, address) }()
 	client := connect.NewClient[Req, Res](c.http, c.scheme+"://"+address+procedure, connect.WithCodec(codec{}),
-		connect.WithReadMaxBytes(maxMessageBytes))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithAcceptCompression(compression, nil, nil))
 	envelope := connect.NewRequest(request)
 	envelope.Header().Set(versionHeader, Version)
 	reply, err := client.CallUnary(ctx, envelope)
@@ -115,7 +125,7 @@
 		return connect.NewResponse(answer), nil
 	}
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure, unary, connect.WithCodec(codec{}),
-		connect.WithReadMaxBytes(maxMessageBytes)))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression(compression, nil, nil)))
 }
 
 // Coded is implemented by errors that choose the code that crosses the wire.
