group: a renewal's load is carried once; tests of carrying; measurements of this build

Reading the carrier again: a renewal carried a second time would have counted its load twice, and a call whose context ended wrote to results that the loop might still write to.

--- a/_scripts/crowd.sh
+++ b/_scripts/crowd.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts control hosts on loopback, and entry hosts and upstreams as stand-ins in one process, and prints what these cost
-# the control hosts. Ends all that it started. CONTROL, ENTRIES, UPSTREAMS and DURATION set the size; BIN the programs.
+# the control hosts as a row of docs/measurements/CROWD.md. Ends all that it started. CONTROL, ENTRIES, UPSTREAMS and DURATION set the size; BIN the programs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin="${BIN:-$PWD/bin}"
@@ -44,7 +44,5 @@
 printf '[service]\nname = crowd\nprefix = /crowd\nkey = path:2\nslices = %d\n' "${SLICES:-8192}" >"$work/services/crowd.ebonyrill.ini"
 "$bin/ebonyrill" publish "$work/services" >/dev/null 2>&1
 leader="$("$bin/ebonyrill" status | awk '$4 == "leader" {print $1}')"
-echo "control hosts: $control, leader $leader; entry hosts: ${ENTRIES:-100}, upstreams: ${UPSTREAMS:-300}"
-"${LOAD:-bin/ebonyrill-load}" crowd --control "$addresses" --admins "$admins" --entries "${ENTRIES:-100}" --upstreams "${UPSTREAMS:-300}" \
-  --duration "${DURATION:-10s}" --file "$work/services/crowd.ebonyrill.ini"
-"$bin/ebonyrill" status | tail -2
+"${LOAD:-bin/ebonyrill-load}" crowd --control "$addresses" --leader "$leader" --admins "$admins" --entries "${ENTRIES:-100}" \
+  --upstreams "${UPSTREAMS:-300}" --duration "${DURATION:-10s}" --file "$work/services/crowd.ebonyrill.ini"
--- a/_scripts/demo.sh
+++ b/_scripts/demo.sh
@@ -89,6 +89,7 @@
 "$bin/ebonyrill" diff _fixtures/services
 "$bin/ebonyrill" owners --service frameRegister k1
 "$bin/ebonyrill" report burn
+"$bin/ebonyrill" report burn --html "${BURN_PAGE:-$work/burn.html}"
 "$bin/ebonyrill" status --json >"$work/status.json"
 "$bin/ebonyrill" status
 "$bin/ebonyrill-load" verify --result "$work/result.json" --journals "$work/*.journal" --status "$work/status.json"
--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -64,6 +64,12 @@
 ' '' $group TestLeavingUpstreamGetsNoNewWork
 mutant oneWord internal/control/place/health.go ' || !alone && !h.heard(now, number, home)' '' $group TestFailingUpstreams
 mutant secondHome $group/doubt.go 'g.shun(now, u, home.Name)' '_ = home.Name' $group TestFailingUpstreams
+mutant unconfirmedWatch $group/watch.go '	case !fresh && last:
+		return nil, nil, g.notLeading()' '	case !fresh && last:' $group 'TestCutOffFollowerAnswersNoWatch|TestSoakOwnership'
+mutant carriedAgain $group/carry.go 'return since >= carryLate' 'return false' $group TestFollowerCarriesRenewals
+mutant heldAge $grant/keeper.go 'now-a.Age.Sure()' 'now' $grant TestHeldAnnouncementsRenewFromBefore
+mutant sharedBytes internal/shared/wire/wire.go 'slices.Clone(e.bytes)' 'e.bytes[:len(slices.Clone(e.bytes))]' internal/shared/wire TestSharedMessageStaysWhole
+mutant drainFinishes internal/ops/daemon/daemon.go '_ = d.callers.Shutdown(ctx)' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
 mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
--- a/cmd/ebonyrill-load/main.go
+++ b/cmd/ebonyrill-load/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -93,6 +94,7 @@
 // crowdCommand measures control hosts under many entry hosts and upstreams.
 type crowdCommand struct {
 	Control   string        `long:"control" required:"yes" description:"peer addresses of control hosts, separated by commas"`
+	Leader    string        `long:"leader" required:"yes" description:"peer address of the leader"`
 	Admins    string        `long:"admins" required:"yes" description:"admin addresses of control hosts, separated by commas"`
 	Entries   int           `long:"entries" default:"100" description:"entry hosts"`
 	Upstreams int           `long:"upstreams" default:"300" description:"upstreams"`
@@ -109,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	r.Print(os.Stdout)
+	r.Print(os.Stdout, o, slices.Index(o.Control, c.Leader))
 	return nil
 }
 
--- a/internal/control/group/carry.go
+++ b/internal/control/group/carry.go
@@ -17,8 +17,8 @@
 )
 
 // carrier brings the renewals that reach a host which does not lead to the leader, many in one call, and learns with
-// each answer what the leader has committed. Calls keep a gap, and one is under way as a rule; when it is late, a second one starts that
-// carries its renewals again, so that neither a silent connection nor a lost message holds them up.
+// each answer what the leader has committed. Calls keep a gap, and one is under way as a rule; when it is late, a second
+// one starts that carries its renewals again, so that neither a silent connection nor a lost message holds them up.
 type carrier struct {
 	leader    agree.ReplicaID
 	waiting   []*carried
@@ -34,6 +34,7 @@
 	since    time.Duration
 	answer   func(*table.RenewalAnswer, error)
 	answered bool
+	sent     bool
 }
 
 func (c *carried) end(answer *table.RenewalAnswer, err error) {
@@ -43,10 +44,15 @@
 	}
 }
 
-// aged returns the renewal with the time that it was held here.
-func (c *carried) aged(now time.Duration) (r table.Renewal) {
+// next returns the renewal with the time that it was held here. Its load goes along once, as the leader would count it
+// twice.
+func (c *carried) next(now time.Duration) (r table.Renewal) {
 	r = *c.renewal
 	r.Announcements = table.Older(r.Announcements, now-c.since)
+	if c.sent {
+		r.Period, r.Slices, r.Keys, r.Sights = 0, nil, nil, nil
+	}
+	c.sent = true
 	return r
 }
 
@@ -108,18 +114,15 @@
 
 // renew renews an entry host's lease and the leases of the upstreams that announced to it; a host that does not lead
 // carries the renewal to the leader.
-func (g *Group) renew(ctx context.Context, r *table.Renewal) (answer *table.RenewalAnswer, err error) {
-	ended := make(chan struct{})
-	end := func(a *table.RenewalAnswer, e error) {
-		answer, err = a, e
-		close(ended)
-	}
-	if doErr := g.do(ctx, func() { g.renewOrCarry(r, end) }); doErr != nil {
-		return nil, doErr
+func (g *Group) renew(ctx context.Context, r *table.Renewal) (*table.RenewalAnswer, error) {
+	ended := make(chan renewed, 1)
+	end := func(answer *table.RenewalAnswer, err error) { ended <- renewed{answer: answer, err: err} }
+	if err := g.do(ctx, func() { g.renewOrCarry(r, end) }); err != nil {
+		return nil, err
 	}
 	select {
-	case <-ended:
-		return answer, err
+	case e := <-ended:
+		return e.answer, e.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-g.done:
@@ -127,6 +130,12 @@
 	}
 }
 
+// renewed is what became of a renewal.
+type renewed struct {
+	answer *table.RenewalAnswer
+	err    error
+}
+
 func (g *Group) renewOrCarry(r *table.Renewal, answer func(*table.RenewalAnswer, error)) {
 	if !g.follows() || len(g.carrier.waiting) >= maxCarried {
 		answer(g.renewNow(r))
@@ -178,7 +187,7 @@
 	c.flights, c.sentAt = append(c.flights, f), now
 	b := &table.RenewalBatch{}
 	for _, w := range f.list {
-		b.Renewals = append(b.Renewals, w.aged(now))
+		b.Renewals = append(b.Renewals, w.next(now))
 	}
 	g.peers.carry(g.leaderAddress(), b, func(answer *table.RenewalBatchAnswer, err error) { g.carriedBack(f, now, answer, err) })
 }
--- a/internal/entry/relay/whole_test.go
+++ b/internal/entry/relay/whole_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -235,3 +236,40 @@
 	}
 	f.c.Assert(u.runs.Load() <= requests*11/10+5, qt.IsTrue, qt.Commentf("%d runs for %d requests", u.runs.Load(), requests))
 }
+
+// TestTwoHomesForAMoment lets two entry hosts each take themselves for the home, as while a change of entry hosts is on
+// its way: together they use at most twice the slots, and one that learns of the other uses none.
+func TestTwoHomesForAMoment(t *testing.T) {
+	c := qt.New(t)
+	var busy, peak atomic.Int64
+	u := mustScripted(c, func(conn net.Conn, r *http.Request) {
+		now := busy.Add(1)
+		for last := peak.Load(); now > last && !peak.CompareAndSwap(last, now); last = peak.Load() {
+		}
+		time.Sleep(20 * time.Millisecond)
+		busy.Add(-1)
+		answer(conn, r, "ok")
+	})
+	info := upstreamAt(1, u.address())
+	homes := []*fixture{mustFixture(t, "entry1", info), mustFixture(t, "entry2", info)}
+	load := func(each int) {
+		peak.Store(0)
+		var wait sync.WaitGroup
+		for _, f := range homes {
+			for range each {
+				wait.Go(func() { c.Check(f.do("GET", "/frames/k").outcome, qt.Equals, Done) })
+			}
+		}
+		wait.Wait()
+	}
+	load(20)
+	c.Assert(peak.Load() <= int64(2*info.Slots), qt.IsTrue, qt.Commentf("%d at once", peak.Load()))
+	hops := httptest.NewServer(http.HandlerFunc(homes[1].handler.ServeHop))
+	c.Cleanup(hops.Close)
+	for _, f := range homes {
+		f.delta.Entries = []table.EntryHost{{Name: "entry2", Address: hops.Listener.Addr().String(), DataCentre: "dc"}}
+		f.own(1, 7, 11)
+	}
+	load(20)
+	c.Assert(peak.Load() <= int64(info.Slots), qt.IsTrue, qt.Commentf("%d at once", peak.Load()))
+}
--- a/internal/sample/drive/crowd.go
+++ b/internal/sample/drive/crowd.go
@@ -222,12 +222,16 @@
 	return s
 }
 
-// Print writes the report.
-func (r CrowdReport) Print(out io.Writer) {
-	fmt.Fprintf(out, "announcements renewed a second %.0f, not answered in time %.1f; leases lapsed since the start %d\n", r.Renewed, r.Failed, r.Lapsed)
-	fmt.Fprintf(out, "control bytes a second of one entry host: sent %.0f, received %.0f\n", r.Sent, r.Received)
+// Print writes the report as a row of a table; the leader is a position among the control hosts.
+func (r CrowdReport) Print(out io.Writer, o CrowdOptions, leader int) {
+	var followers, resident float64
 	for i, h := range r.Hosts {
-		fmt.Fprintf(out, "control host %d: %.3f cores, %.0f MB resident\n", i+1, h.Cores, h.Resident/(1<<20))
+		resident = max(resident, h.Resident)
+		if i != leader {
+			followers += h.Cores / float64(len(r.Hosts)-1)
+		}
 	}
-	fmt.Fprintf(out, "publish in force at all entry hosts after %v\n", r.InForce.Round(time.Millisecond))
+	fmt.Fprintf(out, "| %d | %d | %d | %.0f | %.1f | %d | %.3f | %.3f | %.0f MB | %.1f KB | %v |\n", len(r.Hosts), o.Entries, o.Upstreams,
+		r.Renewed, r.Failed, r.Lapsed, r.Hosts[leader].Cores, followers, resident/(1<<20), (r.Sent+r.Received)/1000,
+		r.InForce.Round(time.Millisecond))
 }
