--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -51,7 +51,7 @@
 mutant entriesPast $grant/keeper.go 'return owner.ChecksFence || k.entriesPast(now, h.needTable)' 'return owner.ChecksFence || true' $grant TestUncheckedOwnerIsWaitedForAtEntryHosts
 mutant ghosts $grant/keeper.go 'if now < k.ghostsGone {' 'if false {' $grant TestUncheckedOwnerIsWaitedForAtEntryHosts
 mutant condemned $grant/keeper.go 'if u.Incarnation != a.Incarnation || l == nil || l.condemned {' 'if u.Incarnation != a.Incarnation || l == nil {' $grant TestCondemnedUpstreamIsNotRenewed
-mutant replays $grant/keeper.go 'if a.Sequence <= l.sequence {' 'if false {' $grant TestReplayedAnnouncements
+mutant replays $grant/keeper.go 'if a.Sequence > l.sequence {' 'if true {' $grant TestReplayedAnnouncements
 mutant preVote $agree/elect.go 'c.requestVotes(MessagePreVote, c.hard.Term+1, 0)' 'c.startElection(now, 0)' $agree TestIsolatedHostDeposesNobody
 mutant preVoteInWorld $agree/elect.go 'c.requestVotes(MessagePreVote, c.hard.Term+1, 0)' 'c.startElection(now, 0)' $group TestControlHostIsolatedForAnHour
 mutant stickyVote $agree/elect.go 'return m.Term > c.hard.Term && c.leaderIsRecent(now)' 'return false' $agree TestRestartedVoterKeepsItsPromiseToTheLeader
@@ -69,7 +69,7 @@
 mutant carriedAgain $group/carry.go 'return since >= carryLate' 'return false' $group TestFollowerCarriesRenewals
 mutant heldAge $grant/keeper.go 'now-a.Age.Sure()' 'now' $grant TestHeldAnnouncementsRenewFromBefore
 mutant sharedBytes internal/shared/wire/wire.go 'slices.Clone(e.bytes)' 'e.bytes[:len(slices.Clone(e.bytes))]' internal/shared/wire TestSharedMessageStaysWhole
-mutant drainFinishes internal/ops/daemon/daemon.go '_ = d.callers.Shutdown(ctx)' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
+mutant drainFinishes internal/ops/daemon/daemon.go 'pause(ctx, d.settings.DrainNotice())' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
 mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
--- a/internal/entry/relay/silent_test.go
+++ b/internal/entry/relay/silent_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -153,3 +154,18 @@
 	f.c.Assert(string(response), qt.Contains, "Ebonyrill-Outcome: notRun")
 	f.c.Assert(u.runs.Load(), qt.Equals, int64(0))
 }
+
+// TestCallerThatTakesNoAnswerIsGivenUp asks for a long answer and never reads it: the upstream's slot must come free.
+func TestCallerThatTakesNoAnswerIsGivenUp(t *testing.T) {
+	long := strings.Repeat("x", 32<<20)
+	f, u := withUpstream(t, func(conn net.Conn, r *http.Request) { answer(conn, r, long) })
+	f.handler.patience = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET /frames/k HTTP/1.1\r\nHost: x\r\n\r\n"))
+	f.c.Assert(err, qt.IsNil)
+	for busy := 1; busy > 0 || u.runs.Load() == 0; busy, _ = f.handler.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/ops/burn/html.go
+++ b/internal/ops/burn/html.go
@@ -45,6 +45,7 @@
 h1{font-size:1.4rem}h2{font-size:1.15rem;margin:2rem 0 .3rem}
 svg{width:100%;height:auto;background:#f4f6f8;border-radius:6px}
 .unavailable{fill:#b3261e}.slow{fill:#c77700}.shed{fill:#5b4fc7}.moved{fill:#2f7d8c}
+.axis{display:flex;justify-content:space-between;margin:.1rem 0 .6rem;font-size:.8rem}
 .scroll{overflow-x:auto}table{border-collapse:collapse;font-size:.85rem;white-space:nowrap}
 th,td{padding:.3rem .6rem;text-align:right;border-bottom:1px solid #dfe4ea}th:first-child,td:first-child{text-align:left}
 .tag{border-radius:4px;padding:.1rem .5rem;font-size:.85rem;background:#e3f1e5;color:#1d5b2a}
@@ -60,6 +61,7 @@
 <p>Budget left over 72 h: {{.Left}}. Bad requests a minute over the last 2 h, peak {{.Peak}}:</p>
 <svg viewBox="0 0 640 160" role="img" aria-label="bad requests a minute">
 {{range .Bars}}<rect class="{{.Class}}" x="{{.X}}" y="{{.Y}}" width="{{.Width}}" height="{{.Height}}"/>{{end}}</svg>
+<p class="axis"><span>2 h ago</span><span>now</span></p>
 <div class="scroll"><table><tr><th>window</th><th>requests</th><th>good</th><th>objective</th><th>burn rate</th><th>budget left</th><th>unavailable</th><th>slow</th><th>shed</th><th>moved</th></tr>
 {{range .Lines}}<tr><td>{{.Window}}</td><td>{{.Requests}}</td><td>{{printf "%.3f" .GoodPercent}}%</td><td>{{printf "%.3f" .ObjectivePercent}}%</td><td>{{printf "%.2f" .BurnRate}}</td><td>{{printf "%.1f" .BudgetLeftPercent}}%</td><td>{{.Unavailable}}</td><td>{{.Slow}}</td><td>{{.Shed}}</td><td>{{.Moved}}</td></tr>
 {{end}}</table></div>{{else}}<p>No requests were counted yet.</p>{{end}}
--- a/internal/ops/daemon/process_test.go
+++ b/internal/ops/daemon/process_test.go
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/sample/drive"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 )
@@ -40,6 +41,7 @@
 	serial   int
 	voters   int
 	security *clusterSecurity
+	work     time.Duration
 	fault    atomic.Pointer[string]
 }
 
@@ -160,7 +162,7 @@
 		admins = append(admins, h.admin)
 	}
 	args := []string{"--name", name, "--service", service, "--address", freeAddress(k.c), "--data-centre", "centre-0",
-		"--entries", strings.Join(admins, ","), "--journal", filepath.Join(k.folder, fmt.Sprintf("%s-%d.journal", name, k.serial)), "--slots", "6"}
+		"--entries", strings.Join(admins, ","), "--journal", filepath.Join(k.folder, fmt.Sprintf("%s-%d.journal", name, k.serial)), "--slots", "6", "--work", k.work.String()}
 	k.start(name, "ebonyrill-sample", append(args, more...)...)
 }
 
@@ -307,8 +309,11 @@
 	c.Assert(v.Outcomes, qt.DeepEquals, map[string]int{"done": v.Requests})
 }
 
+// TestGracefulStopCutsNothing stops an entry host, an upstream and the leader while each has requests in flight.
 func TestGracefulStopCutsNothing(t *testing.T) {
-	k := mustCluster(t, fewVoters)
+	k := newCluster(t, fewVoters)
+	k.work = 80 * time.Millisecond
+	k.startAll()
 	v := k.underLoad(9*time.Second, func() {
 		k.signal("host3", syscall.SIGTERM)
 		k.signal("frame0", syscall.SIGTERM)
@@ -317,8 +322,19 @@
 		leader := fmt.Sprintf("host%d", k.leaderIndex())
 		k.signal(leader, syscall.SIGTERM)
 		k.c.Check(k.end(leader), qt.IsNil)
+		k.assertDrained(leader)
 	})
 	assertNothingCut(k.c, v)
+	k.assertDrained("host3")
+}
+
+// assertDrained holds that a host that stopped did so within the bound of its settings.
+func (k *cluster) assertDrained(host string) {
+	k.c.Helper()
+	log, err := os.ReadFile(filepath.Join(k.folder, host+".log"))
+	k.c.Assert(err, qt.IsNil)
+	k.c.Assert(string(log), qt.Contains, fmt.Sprintf(`"event":%d`, events.Drained.Number()))
+	k.c.Assert(string(log), qt.Not(qt.Contains), fmt.Sprintf(`"event":%d`, events.DrainCut.Number()))
 }
 
 func TestFrozenProcessesBreakNoPromise(t *testing.T) {
--- a/internal/shared/wire/wire_test.go
+++ b/internal/shared/wire/wire_test.go
@@ -123,10 +123,12 @@
 	c.Assert(calls.Load(), qt.Equals, int64(1))
 }
 
-// silencer passes connections on; those made before a silence lose all that goes over them from then on.
+// silencer passes connections on; those made before a silence lose all that goes over them from then on, in one or both
+// directions.
 type silencer struct {
-	made   atomic.Int64
-	silent atomic.Int64
+	made    atomic.Int64
+	towards atomic.Int64
+	back    atomic.Int64
 }
 
 func (s *silencer) serve(l net.Listener, target string) {
@@ -140,12 +142,12 @@
 			return
 		}
 		number := s.made.Add(1)
-		go s.pass(far, conn, number)
-		go s.pass(conn, far, number)
+		go s.pass(far, conn, number, &s.towards)
+		go s.pass(conn, far, number, &s.back)
 	}
 }
 
-func (s *silencer) pass(to, from net.Conn, number int64) {
+func (s *silencer) pass(to, from net.Conn, number int64, silent *atomic.Int64) {
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
@@ -153,7 +155,7 @@
 			_ = to.Close()
 			return
 		}
-		if number > s.silent.Load() {
+		if number > silent.Load() {
 			_, _ = to.Write(buffer[:n])
 		}
 	}
@@ -161,7 +163,16 @@
 
 // TestSilentConnectionCostsOneCall puts a call on one of several connections that went silent; the next one dials anew.
 func TestSilentConnectionCostsOneCall(t *testing.T) {
-	c := qt.New(t)
+	for _, d := range []struct {
+		name          string
+		towards, back bool
+	}{{"both ways", true, true}, {"towards the host", true, false}, {"from the host", false, true}} {
+		t.Run(d.name, func(t *testing.T) { silentConnection(qt.New(t), d.towards, d.back) })
+	}
+}
+
+func silentConnection(c *qt.C, towards, back bool) {
+	c.Helper()
 	var together sync.WaitGroup
 	together.Add(2)
 	target := mustServe(c, func(ctx context.Context, p *ping) (*ping, error) {
@@ -185,7 +196,12 @@
 		})
 	}
 	wait.Wait()
-	s.silent.Store(s.made.Load())
+	if towards {
+		s.towards.Store(s.made.Load())
+	}
+	if back {
+		s.back.Store(s.made.Load())
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	_, err = Call[ping, ping](ctx, client, l.Addr().String(), procedure, &ping{})
 	cancel()
