--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, soak, bench, measure, capacity, crowd, mutants.
+# Targets: build, test, lint, demo, soak, bench, measure, capacity, scale, mutants.
 GO ?= go
 TOOL = $(GO) tool -modfile=_tools/go.mod
 
-.PHONY: build test lint demo soak bench measure capacity crowd mutants
+.PHONY: build test lint demo soak bench measure capacity scale mutants
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -33,11 +33,11 @@
 capacity:
 	$(GO) run ./cmd/ebonyrill-measure capacity
 
-crowd: build
-	cat docs/measurements/CROWD-INTRO.md > docs/measurements/CROWD.md
-	ENTRIES=50 UPSTREAMS=150 bash _scripts/crowd.sh >> docs/measurements/CROWD.md
-	ENTRIES=100 UPSTREAMS=300 bash _scripts/crowd.sh >> docs/measurements/CROWD.md
-	ENTRIES=200 UPSTREAMS=600 bash _scripts/crowd.sh >> docs/measurements/CROWD.md
+scale: build
+	cat docs/measurements/SCALE-INTRO.md > docs/measurements/SCALE.md
+	ENTRIES=50 UPSTREAMS=150 bash _scripts/scale.sh >> docs/measurements/SCALE.md
+	ENTRIES=100 UPSTREAMS=300 bash _scripts/scale.sh >> docs/measurements/SCALE.md
+	ENTRIES=200 UPSTREAMS=600 bash _scripts/scale.sh >> docs/measurements/SCALE.md
 
 mutants:
 	bash _scripts/mutants.sh
--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -62,11 +62,11 @@
 mutant redundancy $group/status.go ' && g.core.MembersCommitted()' '' $group TestFullRedundancyMeansCommittedMembers
 mutant emptyLeaving internal/control/place/weighted.go '	p.emptyLeaving()
 ' '' $group TestLeavingUpstreamGetsNoNewWork
-mutant oneWord internal/control/place/health.go ' || !alone && !h.heard(now, number, home)' '' $group TestFailingUpstreams
-mutant secondHome $group/doubt.go 'g.shun(now, u, home.Name)' '_ = home.Name' $group TestFailingUpstreams
+mutant oneWord internal/control/place/health.go ' || !alone && !h.corroborated(now, number, home)' '' $group TestFailingUpstreams
+mutant secondHome $group/rehome.go 'g.excludeHome(now, u, home.Name)' '_ = home.Name' $group TestFailingUpstreams
 mutant unconfirmedWatch $group/watch.go '	case !fresh && last:
 		return nil, nil, g.notLeading()' '	case !fresh && last:' $group 'TestCutOffFollowerAnswersNoWatch|TestSoakOwnership'
-mutant carriedAgain $group/carry.go 'return since >= carryLate' 'return false' $group TestFollowerCarriesRenewals
+mutant forwardedAgain $group/forward.go 'return since >= forwardLate' 'return false' $group TestFollowerForwardsRenewals
 mutant heldAge $grant/keeper.go 'now-a.Age.Sure()' 'now' $grant TestHeldAnnouncementsRenewFromBefore
 mutant sharedBytes internal/shared/wire/wire.go 'slices.Clone(e.bytes)' 'e.bytes[:len(slices.Clone(e.bytes))]' internal/shared/wire TestSharedMessageStaysWhole
 mutant drainFinishes internal/ops/daemon/daemon.go 'pause(ctx, d.settings.DrainNotice())' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
--- a/_scripts/crowd.sh
+++ b/_scripts/scale.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts control hosts on loopback, and entry hosts and upstreams as stand-ins in one process, and prints what these cost
-# the control hosts as a row of docs/measurements/CROWD.md. Ends all that it started. CONTROL, ENTRIES, UPSTREAMS and DURATION set the size; BIN the programs.
+# the control hosts as a row of docs/measurements/SCALE.md. Ends all that it started. CONTROL, ENTRIES, UPSTREAMS and DURATION set the size; BIN the programs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin="${BIN:-$PWD/bin}"
@@ -41,8 +41,8 @@
   sleep 0.1
 done
 mkdir "$work/services"
-printf '[service]\nname = crowd\nprefix = /crowd\nkey = path:2\nslices = %d\n' "${SLICES:-8192}" >"$work/services/crowd.ebonyrill.ini"
+printf '[service]\nname = scale\nprefix = /scale\nkey = path:2\nslices = %d\n' "${SLICES:-8192}" >"$work/services/scale.ebonyrill.ini"
 "$bin/ebonyrill" publish "$work/services" >/dev/null 2>&1
 leader="$("$bin/ebonyrill" status | awk '$4 == "leader" {print $1}')"
-"${LOAD:-bin/ebonyrill-load}" crowd --control "$addresses" --leader "$leader" --admins "$admins" --entries "${ENTRIES:-100}" \
-  --upstreams "${UPSTREAMS:-300}" --duration "${DURATION:-10s}" --file "$work/services/crowd.ebonyrill.ini"
+"${LOAD:-bin/ebonyrill-load}" scale --control "$addresses" --leader "$leader" --admins "$admins" --entries "${ENTRIES:-100}" \
+  --upstreams "${UPSTREAMS:-300}" --duration "${DURATION:-10s}" --file "$work/services/scale.ebonyrill.ini"
--- a/cmd/ebonyrill-load/main.go
+++ b/cmd/ebonyrill-load/main.go
@@ -91,23 +91,23 @@
 	return nil
 }
 
-// crowdCommand measures control hosts under many entry hosts and upstreams.
-type crowdCommand struct {
+// scaleCommand measures control hosts under many entry hosts and upstreams.
+type scaleCommand struct {
 	Control   string        `long:"control" required:"yes" description:"peer addresses of control hosts, separated by commas"`
 	Leader    string        `long:"leader" required:"yes" description:"peer address of the leader"`
 	Admins    string        `long:"admins" required:"yes" description:"admin addresses of control hosts, separated by commas"`
 	Entries   int           `long:"entries" default:"100" description:"entry hosts"`
 	Upstreams int           `long:"upstreams" default:"300" description:"upstreams"`
 	Duration  time.Duration `long:"duration" default:"10s" description:"how long"`
-	Service   string        `long:"service" default:"crowd" description:"service of the upstreams"`
+	Service   string        `long:"service" default:"scale" description:"service of the upstreams"`
 	File      string        `long:"file" required:"yes" description:"service file, published again at the end with a comment added"`
 }
 
-// Execute runs the crowd and prints what it cost.
-func (c *crowdCommand) Execute([]string) (err error) {
-	o := drive.CrowdOptions{Control: strings.Split(c.Control, ","), Admins: strings.Split(c.Admins, ","), Entries: c.Entries,
+// Execute runs the load and prints what it cost.
+func (c *scaleCommand) Execute([]string) (err error) {
+	o := drive.ScaleOptions{Control: strings.Split(c.Control, ","), Admins: strings.Split(c.Admins, ","), Entries: c.Entries,
 		Upstreams: c.Upstreams, Duration: c.Duration, Service: c.Service}
-	r, err := drive.RunCrowd(o, func() (uint64, error) { return drive.PublishAgain(o.Control, c.File) })
+	r, err := drive.RunScale(o, func() (uint64, error) { return drive.PublishAgain(o.Control, c.File) })
 	if err != nil {
 		return err
 	}
@@ -128,7 +128,7 @@
 	for _, c := range []struct {
 		name string
 		data any
-	}{{"ports", &portsCommand{}}, {"run", &runCommand{}}, {"verify", &verifyCommand{}}, {"crowd", &crowdCommand{}}} {
+	}{{"ports", &portsCommand{}}, {"run", &runCommand{}}, {"verify", &verifyCommand{}}, {"scale", &scaleCommand{}}} {
 		if _, err := p.AddCommand(c.name, c.name, "", c.data); err != nil {
 			panic(err)
 		}
--- a/internal/control/group/carry.go
+++ b/internal/control/group/forward.go
@@ -9,27 +9,27 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
-// Bounds of carrying.
+// Bounds of forwarding.
 const (
-	carryGap   = 15 * time.Millisecond
-	carryLate  = 30 * time.Millisecond
-	maxCarried = 4096
+	forwardGap   = 15 * time.Millisecond
+	forwardLate  = 30 * time.Millisecond
+	maxForwarded = 4096
 )
 
-// carrier brings the renewals that reach a host which does not lead to the leader, many in one call, and learns with
+// forwarder brings the renewals that reach a host which does not lead to the leader, many in one call, and learns with
 // each answer what the leader has committed. Calls keep a gap, and one is under way as a rule; when it is late, a second
-// one starts that carries its renewals again, so that neither a silent connection nor a lost message holds them up.
-type carrier struct {
+// one starts that forwards its renewals again, so that neither a silent connection nor a lost message holds them up.
+type forwarder struct {
 	leader    agree.ReplicaID
-	waiting   []*carried
-	flights   []*flight
+	waiting   []*forwarded
+	calls     []*leaderCall
 	sentAt    time.Duration
 	wantedAt  time.Duration
 	confirmed confirmation
 }
 
-// carried is a renewal with what its answer is for; the first answer counts.
-type carried struct {
+// forwarded is a renewal with what its answer is for; the first answer counts.
+type forwarded struct {
 	renewal  *table.Renewal
 	since    time.Duration
 	answer   func(*table.RenewalAnswer, error)
@@ -37,7 +37,7 @@
 	sent     bool
 }
 
-func (c *carried) end(answer *table.RenewalAnswer, err error) {
+func (c *forwarded) end(answer *table.RenewalAnswer, err error) {
 	if !c.answered {
 		c.answered = true
 		c.answer(answer, err)
@@ -46,7 +46,7 @@
 
 // next returns the renewal with the time that it was held here. Its load goes along once, as the leader would count it
 // twice.
-func (c *carried) next(now time.Duration) (r table.Renewal) {
+func (c *forwarded) next(now time.Duration) (r table.Renewal) {
 	r = *c.renewal
 	r.Announcements = table.Older(r.Announcements, now-c.since)
 	if c.sent {
@@ -56,37 +56,37 @@
 	return r
 }
 
-// flight is one call to the leader.
-type flight struct {
-	list []*carried
+// leaderCall is one call to the leader.
+type leaderCall struct {
+	list []*forwarded
 }
 
 // due reports whether a call to the leader is to be made now.
-func (c *carrier) due(now time.Duration) bool {
+func (c *forwarder) due(now time.Duration) bool {
 	since := now - c.sentAt
-	switch len(c.flights) {
+	switch len(c.calls) {
 	case 0:
 		wanted := len(c.waiting) > 0 || c.wantedAt > c.confirmed.askedAt
-		return wanted && since >= carryGap
+		return wanted && since >= forwardGap
 	case 1:
-		return since >= carryLate
+		return since >= forwardLate
 	}
 	return false
 }
 
-// follow gives up the calls to an earlier leader; what they carry goes to the next.
-func (c *carrier) follow(leader agree.ReplicaID) {
+// follow gives up the calls to an earlier leader; what they forward goes to the next.
+func (c *forwarder) follow(leader agree.ReplicaID) {
 	if c.leader == leader {
 		return
 	}
 	c.waiting = c.load()
-	c.leader, c.flights = leader, nil
+	c.leader, c.calls = leader, nil
 }
 
-// load returns what the next call carries: what waits, and what a late call carries and was not answered.
-func (c *carrier) load() (list []*carried) {
+// load returns what the next call forwards: what waits, and what a late call forwards and was not answered.
+func (c *forwarder) load() (list []*forwarded) {
 	list, c.waiting = c.waiting, nil
-	for _, f := range c.flights {
+	for _, f := range c.calls {
 		for _, w := range f.list {
 			if !w.answered {
 				list = append(list, w)
@@ -113,11 +113,11 @@
 }
 
 // renew renews an entry host's lease and the leases of the upstreams that announced to it; a host that does not lead
-// carries the renewal to the leader.
+// forwards the renewal to the leader.
 func (g *Group) renew(ctx context.Context, r *table.Renewal) (*table.RenewalAnswer, error) {
 	ended := make(chan renewed, 1)
 	end := func(answer *table.RenewalAnswer, err error) { ended <- renewed{answer: answer, err: err} }
-	if err := g.do(ctx, func() { g.renewOrCarry(r, end) }); err != nil {
+	if err := g.do(ctx, func() { g.renewOrForward(r, end) }); err != nil {
 		return nil, err
 	}
 	select {
@@ -136,15 +136,15 @@
 	err    error
 }
 
-func (g *Group) renewOrCarry(r *table.Renewal, answer func(*table.RenewalAnswer, error)) {
-	if !g.follows() || len(g.carrier.waiting) >= maxCarried {
+func (g *Group) renewOrForward(r *table.Renewal, answer func(*table.RenewalAnswer, error)) {
+	if !g.follows() || len(g.forwarder.waiting) >= maxForwarded {
 		answer(g.renewNow(r))
 		return
 	}
-	g.carrier.waiting = append(g.carrier.waiting, &carried{renewal: r, since: g.now(), answer: answer})
+	g.forwarder.waiting = append(g.forwarder.waiting, &forwarded{renewal: r, since: g.now(), answer: answer})
 }
 
-// renewMany answers renewals that another control host carries, as the leader; none is carried on.
+// renewMany answers renewals that another control host forwards, as the leader; none is forwarded on.
 func (g *Group) renewMany(ctx context.Context, b *table.RenewalBatch) (answer *table.RenewalBatchAnswer, err error) {
 	doErr := g.do(ctx, func() { answer, err = g.renewManyNow(b) })
 	if doErr != nil {
@@ -171,11 +171,11 @@
 	return answer, nil
 }
 
-// carry sends what waits to the leader, where a call is due.
-func (g *Group) carry() {
-	c := &g.carrier
+// forward sends what waits to the leader, where a call is due.
+func (g *Group) forward() {
+	c := &g.forwarder
 	if !g.follows() {
-		g.giveUpCarrying()
+		g.giveUpForwarding()
 		return
 	}
 	c.follow(g.core.LeaderID())
@@ -183,23 +183,23 @@
 	if !c.due(now) {
 		return
 	}
-	f := &flight{list: c.load()}
-	c.flights, c.sentAt = append(c.flights, f), now
+	f := &leaderCall{list: c.load()}
+	c.calls, c.sentAt = append(c.calls, f), now
 	b := &table.RenewalBatch{}
 	for _, w := range f.list {
 		b.Renewals = append(b.Renewals, w.next(now))
 	}
-	g.peers.carry(g.leaderAddress(), b, func(answer *table.RenewalBatchAnswer, err error) { g.carriedBack(f, now, answer, err) })
+	g.peers.forward(g.leaderAddress(), b, func(answer *table.RenewalBatchAnswer, err error) { g.forwardAnswered(f, now, answer, err) })
 }
 
-// carriedBack passes the leader's answers on; it runs in the loop. A call that failed turns its renewals away unless
-// another one carries them still.
-func (g *Group) carriedBack(f *flight, sentAt time.Duration, answer *table.RenewalBatchAnswer, err error) {
-	c := &g.carrier
-	current := slices.Contains(c.flights, f)
-	c.flights = slices.DeleteFunc(c.flights, func(o *flight) bool { return o == f })
+// forwardAnswered passes the leader's answers on; it runs in the loop. A call that failed turns its renewals away unless
+// another one forwards them still.
+func (g *Group) forwardAnswered(f *leaderCall, sentAt time.Duration, answer *table.RenewalBatchAnswer, err error) {
+	c := &g.forwarder
+	current := slices.Contains(c.calls, f)
+	c.calls = slices.DeleteFunc(c.calls, func(o *leaderCall) bool { return o == f })
 	if err != nil || len(answer.Answers) != len(f.list) {
-		if current && len(c.flights) == 0 {
+		if current && len(c.calls) == 0 {
 			g.refuse(f.list)
 		}
 		return
@@ -212,17 +212,17 @@
 	}
 }
 
-// giveUpCarrying turns away what waits while there is no leader to carry it to, or answers it as the leader.
-func (g *Group) giveUpCarrying() {
-	g.carrier.follow(0)
-	list := g.carrier.load()
+// giveUpForwarding turns away what waits while there is no leader to forward it to, or answers it as the leader.
+func (g *Group) giveUpForwarding() {
+	g.forwarder.follow(0)
+	list := g.forwarder.load()
 	for _, w := range list {
 		w.end(g.renewNow(w.renewal))
 	}
-	wake(&g.watchers.words)
+	wake(&g.watchers.confirmations)
 }
 
-func (g *Group) refuse(list []*carried) {
+func (g *Group) refuse(list []*forwarded) {
 	for _, w := range list {
 		w.end(nil, g.notLeading())
 	}
--- a/internal/control/group/carry_test.go
+++ b/internal/control/group/forward_test.go
@@ -27,7 +27,7 @@
 func (w *world) renewAt(h *fakeHost, r table.Renewal) (answers, failures *int) {
 	answers, failures = new(int), new(int)
 	h.step(func(g *Group) error {
-		g.renewOrCarry(&r, func(_ *table.RenewalAnswer, err error) {
+		g.renewOrForward(&r, func(_ *table.RenewalAnswer, err error) {
 			*answers++
 			if err != nil {
 				*failures++
@@ -43,7 +43,7 @@
 		Sights: []table.UpstreamSight{{Number: 1, Answered: 10}}}
 }
 
-func TestFollowerCarriesRenewals(t *testing.T) {
+func TestFollowerForwardsRenewals(t *testing.T) {
 	t.Run("to the leader, each answered once", func(t *testing.T) {
 		c := qt.New(t)
 		w, leader, follower := following(c)
@@ -81,11 +81,11 @@
 	})
 }
 
-// TestLoadIsCarriedOnce sends a renewal a second time, as when a call is late: its load must not count twice.
-func TestLoadIsCarriedOnce(t *testing.T) {
+// TestLoadIsForwardedOnce sends a renewal a second time, as when a call is late: its load must not count twice.
+func TestLoadIsForwardedOnce(t *testing.T) {
 	c := qt.New(t)
 	r := entryRenewal("a")
-	w := &carried{renewal: &r, since: time.Second}
+	w := &forwarded{renewal: &r, since: time.Second}
 	c.Assert(w.next(time.Second).Sights, qt.HasLen, 1)
 	c.Assert(w.next(2*time.Second).Sights, qt.HasLen, 0)
 	c.Assert(r.Sights, qt.HasLen, 1)
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -58,30 +58,30 @@
 // sender brings messages to the other control hosts, or drops them, and makes calls to the leader.
 type sender interface {
 	send(agree.Members, []agree.Message)
-	carry(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error))
+	forward(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error))
 	stop()
 }
 
 // Group is one control host; its state belongs to the goroutine of Run.
 type Group struct {
-	options  Options
-	store    disk
-	core     *agree.Core
-	state    *state.State
-	lead     *lead
-	peers    sender
-	clock    func() time.Duration
-	nextDuty time.Duration
-	inbox    chan agree.Message
-	requests chan func()
-	contacts map[agree.ReplicaID]string
-	waiters  map[uint64]waiter
-	watchers watchers
-	prepared preparedDeltas
-	carrier  carrier
-	role     agree.Role
-	stop     chan struct{}
-	done     chan struct{}
+	options   Options
+	store     disk
+	core      *agree.Core
+	state     *state.State
+	lead      *lead
+	peers     sender
+	clock     func() time.Duration
+	nextDuty  time.Duration
+	inbox     chan agree.Message
+	requests  chan func()
+	contacts  map[agree.ReplicaID]string
+	waiters   map[uint64]waiter
+	watchers  watchers
+	prepared  preparedDeltas
+	forwarder forwarder
+	role      agree.Role
+	stop      chan struct{}
+	done      chan struct{}
 }
 
 // waiter is a proposal that waits to be applied.
@@ -269,7 +269,7 @@
 	if g.core == nil {
 		return nil
 	}
-	g.carry()
+	g.forward()
 	out := g.core.Take()
 	if out.Install != nil {
 		if err = g.install(*out.Install); err != nil {
--- a/internal/control/group/health_test.go
+++ b/internal/control/group/health_test.go
@@ -100,7 +100,7 @@
 		w.leader().crash()
 		w.run(w.now + 3*time.Second)
 		c.Assert(w.homeOf("up1"), qt.Not(qt.Equals), first)
-		w.run(w.now + shunTime + 5*time.Second)
+		w.run(w.now + exclusionTime + 5*time.Second)
 		c.Assert(w.homeOf("up1"), qt.Equals, first)
 		assertUnbroken(c, w, 3)
 	})
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -27,21 +27,21 @@
 
 // lead is what a host does while it leads; it ends with the leadership.
 type lead struct {
-	term      uint64
-	keeper    *grant.Keeper
-	services  map[string]*serviceDuty
-	upstreams map[uint32]*upstreamNote
-	losses    []loss
-	lost      map[string]lostEntry
-	followed  uint64
-	pending   uint64
-	joining   map[string]uint64
-	health    *place.Health
-	moved     float64
-	avoided   map[uint32]bool
-	homes     table.Homes
-	doubtAt   time.Duration
-	shunned   map[uint32]time.Duration
+	term       uint64
+	keeper     *grant.Keeper
+	services   map[string]*serviceDuty
+	upstreams  map[uint32]*upstreamNote
+	losses     []loss
+	lost       map[string]lostEntry
+	followed   uint64
+	pending    uint64
+	joining    map[string]uint64
+	health     *place.Health
+	moved      float64
+	avoided    map[uint32]bool
+	homes      table.Homes
+	reviewAt   time.Duration
+	excludedAt map[uint32]time.Duration
 }
 
 // serviceDuty is what the leader keeps for one service.
@@ -79,7 +79,7 @@
 	l := &lead{term: term, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
 		upstreams: map[uint32]*upstreamNote{}, lost: map[string]lostEntry{},
 		joining: map[string]uint64{}, health: place.NewHealth(), avoided: map[uint32]bool{},
-		shunned: map[uint32]time.Duration{}}
+		excludedAt: map[uint32]time.Duration{}}
 	for _, u := range s.Upstreams() {
 		l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: settledAge}
 	}
@@ -108,7 +108,7 @@
 	if g.state.Index() < l.pending {
 		return
 	}
-	g.doubt(now)
+	g.reviewHomes(now)
 	operations := l.plan(now, g.state)
 	g.logAvoided()
 	if len(operations) > 0 {
@@ -175,7 +175,7 @@
 		if _, ok := s.Upstream(number); !ok {
 			l.losses = append(l.losses, loss{name: n.name, at: now})
 			delete(l.upstreams, number)
-			delete(l.shunned, number)
+			delete(l.excludedAt, number)
 		}
 	}
 	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool { return now-x.at > flapMemory })
--- a/internal/control/group/peers.go
+++ b/internal/control/group/peers.go
@@ -15,7 +15,7 @@
 const (
 	peerQueueLength  = 512
 	peerBatchLength  = 64
-	carryTimeout     = 150 * time.Millisecond
+	forwardTimeout   = 150 * time.Millisecond
 	deliverTimeout   = 150 * time.Millisecond
 	snapshotTimeout  = 20 * time.Second
 	deliveriesAtOnce = 2
@@ -108,10 +108,10 @@
 	_, _ = wire.Call[batch, oper.Empty](ctx, p.client, address, oper.Deliver, &batch{Messages: messages})
 }
 
-// carry makes a call to the leader; done runs in the loop of the host.
-func (p *peers) carry(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error)) {
+// forward makes a call to the leader; done runs in the loop of the host.
+func (p *peers) forward(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(p.ctx, carryTimeout)
+		ctx, cancel := context.WithTimeout(p.ctx, forwardTimeout)
 		defer cancel()
 		answer, err := wire.Call[table.RenewalBatch, table.RenewalBatchAnswer](ctx, p.client, address, oper.RenewMany, b)
 		p.later(func() { done(answer, err) })
--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -17,11 +17,11 @@
 
 // watchers are calls that wait in the loop: for a newer version, or for the leader's word that this host is up to date.
 type watchers struct {
-	changes []chan struct{}
-	words   []chan struct{}
-	seen    uint64
-	told    confirmation
-	applied uint64
+	changes       []chan struct{}
+	confirmations []chan struct{}
+	seen          uint64
+	confirmed     confirmation
+	applied       uint64
 }
 
 func wake(waiting *[]chan struct{}) {
@@ -44,9 +44,9 @@
 		w.seen = v
 		wake(&w.changes)
 	}
-	if told := g.carrier.confirmed; told != w.told || g.state.Index() != w.applied {
-		w.told, w.applied = told, g.state.Index()
-		wake(&w.words)
+	if confirmed := g.forwarder.confirmed; confirmed != w.confirmed || g.state.Index() != w.applied {
+		w.confirmed, w.applied = confirmed, g.state.Index()
+		wake(&w.confirmations)
 	}
 }
 
@@ -123,7 +123,7 @@
 	case !fresh && last:
 		return nil, nil, g.notLeading()
 	case !fresh:
-		return nil, wait(&g.watchers.words), nil
+		return nil, wait(&g.watchers.confirmations), nil
 	}
 	current := w.Version == g.state.Version() && w.Digest == g.state.Digest()
 	if current && !last {
@@ -143,7 +143,7 @@
 		_, err = g.leading()
 		return err == nil, err
 	}
-	c := &g.carrier
+	c := &g.forwarder
 	if c.confirmed.askedAt >= at {
 		return g.state.Index() >= c.confirmed.index, nil
 	}
--- a/internal/control/group/world_entry_test.go
+++ b/internal/control/group/world_entry_test.go
@@ -81,7 +81,7 @@
 	tried := e.control
 	h := e.world.hosts[tried%len(e.world.hosts)]
 	sent := e.aged(r, sentAt)
-	ask(e.world, e.name, h, func(g *Group, answer func(*table.RenewalAnswer, error)) { g.renewOrCarry(&sent, answer) }, func(got *table.RenewalAnswer, err error) {
+	ask(e.world, e.name, h, func(g *Group, answer func(*table.RenewalAnswer, error)) { g.renewOrForward(&sent, answer) }, func(got *table.RenewalAnswer, err error) {
 		if e.life != life {
 			return
 		}
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// carry implements sender; an answer that comes after the process ended reaches nobody.
-func (h *fakeHost) carry(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error)) {
+// forward implements sender; an answer that comes after the process ended reaches nobody.
+func (h *fakeHost) forward(address string, b *table.RenewalBatch, done func(*table.RenewalBatchAnswer, error)) {
 	life := h.life
 	call := func(g *Group, answer func(*table.RenewalBatchAnswer, error)) { answer(g.renewManyNow(b)) }
 	ask(h.world, h.name, h.world.host(address), call, func(a *table.RenewalBatchAnswer, err error) {
--- a/internal/control/place/health.go
+++ b/internal/control/place/health.go
@@ -8,15 +8,15 @@
 
 // Rules by which an upstream counts as failing.
 const (
-	failingShare     = 0.5
-	failingRequests  = 20
-	failingFor       = 1500 * time.Millisecond
-	sightMemory      = 10 * time.Second
-	testimonyTime    = 2 * time.Minute
-	hostSuspectShare = 0.5
-	avoidTime        = 30 * time.Second
-	maxStrikes       = 5
-	strikeMemory     = 30 * time.Minute
+	failingShare      = 0.5
+	failingRequests   = 20
+	failingFor        = 1500 * time.Millisecond
+	sightMemory       = 10 * time.Second
+	corroborationTime = 2 * time.Minute
+	hostSuspectShare  = 0.5
+	avoidTime         = 30 * time.Second
+	maxStrikes        = 5
+	strikeMemory      = 30 * time.Minute
 )
 
 // sightName names what one entry host sees of one upstream.
@@ -40,23 +40,23 @@
 // current reports whether the host has seen the upstream of late.
 func (s *sight) current(now time.Duration) bool { return now-s.updatedAt <= sightMemory }
 
-// sentence is how long an upstream is avoided, and how often it was.
-type sentence struct {
+// avoidance is how long an upstream is avoided, and how often it was.
+type avoidance struct {
 	strikes int
 	until   time.Duration
 }
 
-// Health judges upstreams by what entry hosts saw of them. An upstream's own report never condemns or clears it, and
-// one entry host's word is not enough: where it sees most requests to an upstream fail, another host is made the
-// upstream's home, and only if that one sees the same is the upstream at fault.
+// Health judges upstreams by what entry hosts saw of them. An upstream's own report never decides, and one entry host's
+// is not enough: where it sees most requests to an upstream fail, another host is made the upstream's home, and only if
+// that one sees the same is the upstream at fault.
 type Health struct {
-	sights    map[sightName]*sight
-	sentences map[uint32]*sentence
+	sights     map[sightName]*sight
+	avoidances map[uint32]*avoidance
 }
 
 // NewHealth returns a judge without sights.
 func NewHealth() *Health {
-	return &Health{sights: map[sightName]*sight{}, sentences: map[uint32]*sentence{}}
+	return &Health{sights: map[sightName]*sight{}, avoidances: map[uint32]*avoidance{}}
 }
 
 // Add takes in what one entry host saw since its last report.
@@ -77,20 +77,20 @@
 	s.failing = bad
 }
 
-// Doubted reports whether the host has seen most requests to the upstream fail for a while, with no other host's word
+// Suspected reports whether the host has seen most requests to the upstream fail for a while, with no other host's word
 // to the same effect; another host should become the upstream's home. An upstream that is avoided needs none.
-func (h *Health) Doubted(now time.Duration, number uint32, host string) bool {
+func (h *Health) Suspected(now time.Duration, number uint32, host string) bool {
 	if h.avoided(now, number) {
 		return false
 	}
 	s := h.sights[sightName{number: number, host: host}]
-	return s != nil && s.current(now) && s.lasting() && !h.heard(now, number, host)
+	return s != nil && s.current(now) && s.lasting() && !h.corroborated(now, number, host)
 }
 
-// heard reports whether another host than the one named saw the upstream fail not long ago.
-func (h *Health) heard(now time.Duration, number uint32, except string) bool {
+// corroborated reports whether another host than the one named saw the upstream fail not long ago.
+func (h *Health) corroborated(now time.Duration, number uint32, except string) bool {
 	for name, s := range h.sights {
-		if name.number == number && name.host != except && s.lasting() && now-s.updatedAt <= testimonyTime {
+		if name.number == number && name.host != except && s.lasting() && now-s.updatedAt <= corroborationTime {
 			return true
 		}
 	}
@@ -105,24 +105,24 @@
 		return true
 	}
 	s := h.sights[sightName{number: number, host: home}]
-	if s == nil || !s.current(now) || !s.lasting() || h.suspect(now, home) || !alone && !h.heard(now, number, home) {
+	if s == nil || !s.current(now) || !s.lasting() || h.suspect(now, home) || !alone && !h.corroborated(now, number, home) {
 		return false
 	}
-	h.condemn(now, number)
+	h.avoid(now, number)
 	return true
 }
 
 func (h *Health) avoided(now time.Duration, number uint32) bool {
-	c := h.sentences[number]
+	c := h.avoidances[number]
 	return c != nil && now < c.until
 }
 
-// condemn lets the upstream be avoided and forgets what was seen of it.
-func (h *Health) condemn(now time.Duration, number uint32) {
-	c := h.sentences[number]
+// avoid lets the upstream be avoided and forgets what was seen of it.
+func (h *Health) avoid(now time.Duration, number uint32) {
+	c := h.avoidances[number]
 	if c == nil || now-c.until > strikeMemory {
-		c = &sentence{}
-		h.sentences[number] = c
+		c = &avoidance{}
+		h.avoidances[number] = c
 	}
 	c.until = now + avoidTime<<min(c.strikes, maxStrikes)
 	c.strikes++
@@ -151,13 +151,13 @@
 // Forget drops what is too old to count.
 func (h *Health) Forget(now time.Duration) {
 	for name, s := range h.sights {
-		if now-s.updatedAt > testimonyTime {
+		if now-s.updatedAt > corroborationTime {
 			delete(h.sights, name)
 		}
 	}
-	for number, c := range h.sentences {
+	for number, c := range h.avoidances {
 		if now-c.until > strikeMemory {
-			delete(h.sentences, number)
+			delete(h.avoidances, number)
 		}
 	}
 }
--- a/internal/control/place/health_test.go
+++ b/internal/control/place/health_test.go
@@ -42,30 +42,30 @@
 	t.Run("one of several hosts raises a doubt and no more", func(t *testing.T) {
 		w := newWatched()
 		w.see("e1", 1, 50, 0, 30)
-		qt.Assert(t, w.Doubted(w.now, 1, "e1"), qt.IsTrue)
+		qt.Assert(t, w.Suspected(w.now, 1, "e1"), qt.IsTrue)
 		qt.Assert(t, w.failing("e1", false), qt.IsFalse)
 	})
 	t.Run("a second home that sees the same", func(t *testing.T) {
 		w := newWatched()
 		w.see("e1", 1, 50, 0, 5)
 		w.see("e2", 1, 50, 0, 5)
-		qt.Assert(t, w.Doubted(w.now, 1, "e2"), qt.IsFalse)
+		qt.Assert(t, w.Suspected(w.now, 1, "e2"), qt.IsFalse)
 		qt.Assert(t, w.failing("e2", false), qt.IsTrue)
 	})
 	t.Run("a second home that is well served", func(t *testing.T) {
 		w := newWatched()
 		w.see("e1", 1, 50, 0, 5)
 		w.see("e2", 1, 5, 50, 60)
-		qt.Assert(t, w.Doubted(w.now, 1, "e2"), qt.IsFalse)
+		qt.Assert(t, w.Suspected(w.now, 1, "e2"), qt.IsFalse)
 		qt.Assert(t, w.failing("e2", false), qt.IsFalse)
 	})
 	t.Run("a word of long ago", func(t *testing.T) {
 		w := newWatched()
 		w.see("e1", 1, 50, 0, 5)
-		w.now += testimonyTime
+		w.now += corroborationTime
 		w.see("e2", 1, 50, 0, 5)
 		qt.Assert(t, w.failing("e2", false), qt.IsFalse)
-		qt.Assert(t, w.Doubted(w.now, 1, "e2"), qt.IsTrue)
+		qt.Assert(t, w.Suspected(w.now, 1, "e2"), qt.IsTrue)
 	})
 	t.Run("a second home that sees most of its upstreams fail is the suspect", func(t *testing.T) {
 		w := newWatched()
@@ -78,7 +78,7 @@
 		w := newWatched()
 		w.see("e1", 1, 3, 100, 10)
 		w.see("e2", 1, 3, 100, 10)
-		qt.Assert(t, w.Doubted(w.now, 1, "e2"), qt.IsFalse)
+		qt.Assert(t, w.Suspected(w.now, 1, "e2"), qt.IsFalse)
 		qt.Assert(t, w.failing("e2", false), qt.IsFalse)
 	})
 	t.Run("relapses last longer", func(t *testing.T) {
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -15,7 +15,7 @@
 	JoinEntry     *table.EntryHost `cbor:"5,keyasint,omitempty"`
 	DropEntry     *DropEntry       `cbor:"6,keyasint,omitempty"`
 	Plan          *Plan            `cbor:"7,keyasint,omitempty"`
-	Shun          *Shun            `cbor:"8,keyasint,omitempty"`
+	ExcludeHome   *ExcludeHome     `cbor:"8,keyasint,omitempty"`
 }
 
 // Publish replaces the set of service files if Base is still the version in force.
@@ -45,8 +45,8 @@
 	Incarnation uint64 `cbor:"2,keyasint"`
 }
 
-// Shun gives an upstream another home than the named entry host; an empty name ends that.
-type Shun struct {
+// ExcludeHome gives an upstream another home than the named entry host; an empty name ends that.
+type ExcludeHome struct {
 	Number uint32 `cbor:"1,keyasint"`
 	Entry  string `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -96,8 +96,8 @@
 		return s.dropEntry(*c.DropEntry), nil
 	case c.Plan != nil:
 		return Result{}, s.plan(*c.Plan)
-	case c.Shun != nil:
-		return s.shun(*c.Shun), nil
+	case c.ExcludeHome != nil:
+		return s.excludeHome(*c.ExcludeHome), nil
 	}
 	return Result{}, errors.New("unknown command")
 }
@@ -367,9 +367,9 @@
 	return Result{}
 }
 
-func (s *State) shun(c Shun) Result {
-	if i, ok := s.upstreamPosition(c.Number); ok && s.upstreams[i].Shunned != c.Entry {
-		s.upstreams[i].Shunned = c.Entry
+func (s *State) excludeHome(c ExcludeHome) Result {
+	if i, ok := s.upstreamPosition(c.Number); ok && s.upstreams[i].ExcludedHome != c.Entry {
+		s.upstreams[i].ExcludedHome = c.Entry
 		s.note(journalEntry{upstreams: []uint32{c.Number}})
 	}
 	return Result{}
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -237,7 +237,7 @@
 	case 3:
 		return Command{Drain: &Drain{Name: name, On: rapid.Bool().Draw(t, "on"), Self: rapid.Bool().Draw(t, "self")}}
 	case 4:
-		return Command{Shun: &Shun{Number: u.Number, Entry: name}}
+		return Command{ExcludeHome: &ExcludeHome{Number: u.Number, Entry: name}}
 	case 5:
 		return Command{JoinEntry: &table.EntryHost{Name: name, Incarnation: b.index, DataCentre: rapid.SampledFrom([]string{"dc", "far"}).Draw(t, "centre")}}
 	}
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -61,7 +61,7 @@
 	UpstreamLost     = event(2102, zap.WarnLevel, LayerControl, "upstream lost its lease")
 	UpstreamRefused  = event(2103, zap.WarnLevel, LayerControl, "announcement refused")
 	UpstreamAvoided  = event(2104, zap.WarnLevel, LayerControl, "upstream fails requests, its slices are moved")
-	HomeShunned      = event(2105, zap.WarnLevel, LayerControl, "upstream gets another home")
+	HomeExcluded     = event(2105, zap.WarnLevel, LayerControl, "upstream gets another home")
 	EntryJoined      = event(2111, zap.InfoLevel, LayerControl, "entry host joined")
 	EntryLost        = event(2112, zap.WarnLevel, LayerControl, "entry host lost its lease")
 	ConfigAccepted   = event(2201, zap.InfoLevel, LayerControl, "configuration accepted")
--- a/internal/sample/drive/crowd.go
+++ b/internal/sample/drive/scale.go
@@ -22,8 +22,8 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
-// CrowdOptions describe many entry hosts without callers, with the upstreams that announce themselves to them.
-type CrowdOptions struct {
+// ScaleOptions describe many entry hosts without callers, with the upstreams that announce themselves to them.
+type ScaleOptions struct {
 	Control   []string
 	Admins    []string
 	Entries   int
@@ -32,9 +32,9 @@
 	Service   string
 }
 
-// Crowd is entry hosts' real ties to control in one process, and upstreams that are stand-ins.
-type Crowd struct {
-	options   CrowdOptions
+// scaleRun is entry hosts' real ties to control in one process, and upstreams that are stand-ins.
+type scaleRun struct {
+	options   ScaleOptions
 	followers []*follow.Follower
 	tables    []*route.Table
 	clients   []*wire.Client
@@ -43,9 +43,9 @@
 	lapsed    atomic.Int64
 }
 
-// CrowdReport is what a crowd saw and what it cost: announcements a second that were renewed or not, bytes a second to
+// ScaleReport is what a run saw and what it cost: announcements a second that were renewed or not, bytes a second to
 // and from control for one entry host, and what each control host used.
-type CrowdReport struct {
+type ScaleReport struct {
 	Renewed  float64
 	Failed   float64
 	Lapsed   int64
@@ -61,17 +61,17 @@
 	Resident float64
 }
 
-// Times of a crowd.
+// Times of a run.
 const (
-	crowdLease  = time.Second
-	crowdSettle = 6 * time.Second
-	crowdTry    = 900 * time.Millisecond
+	scaleLease  = time.Second
+	scaleSettle = 6 * time.Second
+	scaleTry    = 900 * time.Millisecond
 )
 
-// RunCrowd starts the crowd, lets it settle, measures for the duration, and then publishes by the function given and
+// RunScale starts entry hosts and upstreams, lets it settle, measures for the duration, and then publishes by the function given and
 // measures how long the new configuration takes to be in force at all entry hosts.
-func RunCrowd(o CrowdOptions, publish func() (version uint64, err error)) (r CrowdReport, err error) {
-	c := &Crowd{options: o}
+func RunScale(o ScaleOptions, publish func() (version uint64, err error)) (r ScaleReport, err error) {
+	c := &scaleRun{options: o}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -82,7 +82,7 @@
 	for i := range o.Upstreams {
 		running.Go(func() { c.announce(ctx, i) })
 	}
-	time.Sleep(crowdSettle)
+	time.Sleep(scaleSettle)
 	before, err := samples(o.Admins)
 	if err != nil {
 		return r, err
@@ -105,12 +105,12 @@
 	return r, err
 }
 
-// crowdCounts are a crowd's counts since it started.
-type crowdCounts struct {
+// scaleCounts are the counts of a run since it started.
+type scaleCounts struct {
 	renewed, failed, sent, received float64
 }
 
-func (c *Crowd) counts() (n crowdCounts) {
+func (c *scaleRun) counts() (n scaleCounts) {
 	n.renewed, n.failed = float64(c.renewed.Load()), float64(c.failed.Load())
 	for _, w := range c.clients {
 		n.sent += float64(w.Traffic().Sent())
@@ -119,13 +119,13 @@
 	return n
 }
 
-func (c *Crowd) addEntry(ctx context.Context, running *sync.WaitGroup, i int) {
-	t := route.NewTable(fmt.Sprint("crowd-", i), 1)
-	host := table.EntryHost{Name: fmt.Sprint("crowd-", i), Incarnation: uint64(time.Now().UnixNano()),
+func (c *scaleRun) addEntry(ctx context.Context, running *sync.WaitGroup, i int) {
+	t := route.NewTable(fmt.Sprint("scale-", i), 1)
+	host := table.EntryHost{Name: fmt.Sprint("scale-", i), Incarnation: uint64(time.Now().UnixNano()),
 		Address: fmt.Sprintf("127.0.0.1:%d", 1+i), DataCentre: fmt.Sprint("centre-", i%7)}
 	client := wire.NewClient(nil)
 	c.clients = append(c.clients, client)
-	f := follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(client, c.options.Control), Lease: crowdLease,
+	f := follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(client, c.options.Control), Lease: scaleLease,
 		Table: t, Tally: tally.New(prometheus.NewRegistry()), Log: events.Nop()})
 	c.followers, c.tables = append(c.followers, f), append(c.tables, t)
 	running.Go(func() { _ = f.RunRenewals(ctx) })
@@ -133,12 +133,12 @@
 }
 
 // announce is one upstream: it announces itself to one entry host after the other.
-func (c *Crowd) announce(ctx context.Context, i int) {
+func (c *scaleRun) announce(ctx context.Context, i int) {
 	a := table.Announcement{Name: fmt.Sprint("up-", i), Incarnation: uint64(time.Now().UnixNano()), Service: c.options.Service,
 		Address: fmt.Sprintf("127.0.0.2:%d", 1+i), DataCentre: fmt.Sprint("centre-", i%7), ChecksFence: true, Slots: 3, Connections: 130}
 	for ctx.Err() == nil {
 		a.Sequence++
-		try, cancel := context.WithTimeout(ctx, crowdTry)
+		try, cancel := context.WithTimeout(ctx, scaleTry)
 		g, err := c.followers[(i+int(a.Sequence))%len(c.followers)].Announce(try, a)
 		cancel()
 		switch {
@@ -156,7 +156,7 @@
 }
 
 // inForce publishes and waits until each entry host has the version.
-func (c *Crowd) inForce(publish func() (uint64, error)) (took time.Duration, err error) {
+func (c *scaleRun) inForce(publish func() (uint64, error)) (took time.Duration, err error) {
 	started := time.Now()
 	version, err := publish()
 	if err != nil {
@@ -174,7 +174,7 @@
 }
 
 // lagging names the entry hosts that lack a configuration, with their versions.
-func (c *Crowd) lagging(version uint64) string {
+func (c *scaleRun) lagging(version uint64) string {
 	var names []string
 	for i, t := range c.tables {
 		if v := t.View(); v.Config().Version < version {
@@ -223,7 +223,7 @@
 }
 
 // Print writes the report as a row of a table; the leader is a position among the control hosts.
-func (r CrowdReport) Print(out io.Writer, o CrowdOptions, leader int) {
+func (r ScaleReport) Print(out io.Writer, o ScaleOptions, leader int) {
 	var followers, resident float64
 	for i, h := range r.Hosts {
 		resident = max(resident, h.Resident)
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -155,7 +155,7 @@
 	Grants      []GrantAnswer `cbor:"4,keyasint,omitempty"`
 }
 
-// RenewalBatch holds renewals that a control host carries to the leader.
+// RenewalBatch holds renewals that a control host forwards to the leader.
 type RenewalBatch struct {
 	Renewals []Renewal `cbor:"1,keyasint,omitempty"`
 }
--- a/internal/shared/table/homes.go
+++ b/internal/shared/table/homes.go
@@ -33,8 +33,8 @@
 func (h Homes) Len() int { return len(h.entries) }
 
 // Of returns the home of an upstream: the entry host with the highest rendezvous score, hosts of the upstream's own data
-// centre first. An upstream that shuns a host gets one of another data centre, so that a second opinion does not rest on
-// the same network, and the shunned host only where there is no other.
+// centre first. An upstream that excludes a host gets one of another data centre, so that a second opinion does not rest on
+// the same network, and the excluded host only where there is no other.
 func (h Homes) Of(u Upstream) (home EntryHost, ok bool) {
 	name := slice.HashKey(u.Name)
 	best, bestRank, bestScore := -1, 0, uint64(0)
@@ -54,9 +54,9 @@
 // rankOf tells how well an entry host suits as an upstream's home.
 func rankOf(e EntryHost, u Upstream) int {
 	switch {
-	case e.Name == u.Shunned:
+	case e.Name == u.ExcludedHome:
 		return 0
-	case (e.DataCentre == u.DataCentre) == (u.Shunned == ""):
+	case (e.DataCentre == u.DataCentre) == (u.ExcludedHome == ""):
 		return 2
 	}
 	return 1
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -10,7 +10,7 @@
 // MaxSkew bounds how far wall clocks of hosts differ; deadlines cross hosts by wall clock.
 const MaxSkew = 50 * time.Millisecond
 
-// Upstream is one incarnation of a server that owns keys; Shunned names the entry host that must not be its home.
+// Upstream is one incarnation of a server that owns keys; ExcludedHome names the entry host that must not be its home.
 type Upstream struct {
 	Number          uint32 `cbor:"1,keyasint" json:"number"`
 	Name            string `cbor:"2,keyasint" json:"name"`
@@ -24,7 +24,7 @@
 	Connections     int    `cbor:"10,keyasint" json:"connections"`
 	Leaving         bool   `cbor:"11,keyasint" json:"leaving"`
 	GrantsVersion   uint64 `cbor:"12,keyasint" json:"grantsVersion"`
-	Shunned         string `cbor:"13,keyasint,omitempty" json:"shunned,omitempty"`
+	ExcludedHome    string `cbor:"13,keyasint,omitempty" json:"excludedHome,omitempty"`
 }
 
 // EntryHost is one incarnation of a daemon that takes callers' requests.
