--- a/_scripts/demo.sh
+++ b/_scripts/demo.sh
@@ -54,6 +54,7 @@
   sleep 0.1
 done
 say "control group of 3 hosts started"
+"$bin/ebonyrill" check _fixtures/services
 "$bin/ebonyrill" publish _fixtures/services --wait 2>/dev/null
 for i in 1 2 3; do
   start "frame$i" "$bin/ebonyrill-sample" --name "frame$i" --service frameRegister --address "127.0.0.1:$((port + 20 + i))" \
@@ -91,6 +92,6 @@
 "$bin/ebonyrill" report burn
 "$bin/ebonyrill" report burn --html "${BURN_PAGE:-$work/burn.html}"
 "$bin/ebonyrill" status --json >"$work/status.json"
-"$bin/ebonyrill" status
+"$bin/ebonyrill" status --wait
 "$bin/ebonyrill-load" verify --result "$work/result.json" --journals "$work/*.journal" --status "$work/status.json"
 say "all promises held"
--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -60,6 +60,8 @@
 mutant oneVoteAtATime $agree/core.go 'if c.members.voterChanges(next) > 1 {' 'if false {' $agree TestMembershipChangesAreGuarded
 mutant persistFirst $group/group.go 'if err = g.store.Save(out.Hard, out.Append); err != nil {' 'if g.core.Role() == agree.Leader { err = g.store.Save(out.Hard, out.Append) }; if err != nil {' $group 'TestSoakOwnership|TestSoakRepair'
 mutant redundancy $group/status.go ' && g.core.MembersCommitted()' '' $group TestFullRedundancyMeansCommittedMembers
+mutant catchUp $agree/replicate.go '		c.sendSnapshot(now, to, p)' '' $agree TestCaughtUpBySnapshotAfterHundredsOfChanges
+mutant lapsedLease $grant/keeper.go 'len(numbers) > 0 {' 'false {' $group TestServedAgainWithinTwoSeconds
 mutant emptyLeaving internal/control/place/weighted.go '	p.emptyLeaving()
 ' '' $group TestLeavingUpstreamGetsNoNewWork
 mutant oneWord internal/control/place/health.go ' || !alone && !h.corroborated(now, number, home)' '' $group TestFailingUpstreams
