--- a/cmd/ebonyrilld/main.go
+++ b/cmd/ebonyrilld/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"ebonyrill.dev/ebonyrill/internal/ops/cmds"
+	"ebonyrill.dev/ebonyrill/platform"
 )
 
 func main() {
-	os.Exit(cmds.Daemon(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Daemon(os.Args[1:], os.Stdout, os.Stderr, platform.Adapter{}))
 }
--- a/internal/control/agree/types.go
+++ b/internal/control/agree/types.go
@@ -111,6 +111,12 @@
 	return Timing{Heartbeat: 40 * time.Millisecond, ElectionMin: 180 * time.Millisecond, ElectionMax: 320 * time.Millisecond}
 }
 
+// TimingFor returns intervals for a leader that makes itself heard at each heartbeat; an election starts once several were
+// missed.
+func TimingFor(heartbeat time.Duration) Timing {
+	return Timing{Heartbeat: heartbeat, ElectionMin: heartbeat * 9 / 2, ElectionMax: heartbeat * 8}
+}
+
 // Drift of monotonic clocks between any two hosts that the leader lease allows for.
 const (
 	driftNumerator   = 1
--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -64,6 +64,8 @@
 	needHeld  uint64
 	needTable uint64
 	since     time.Duration
+	last      uint64
+	freed     bool
 }
 
 // Keeper holds the leases; it lives as long as one leadership does.
@@ -76,13 +78,14 @@
 	handovers  map[sliceName]*handover
 	slicesAt   uint64
 	grants     grantIndex
+	tokens     map[string]tokens
 }
 
 // NewKeeper returns the leases of a leader that took over at now: all are live for one full lease time, and a request
 // of an entry host dropped before may still be on its way.
 func NewKeeper(terms Terms, now time.Duration, s *state.State) *Keeper {
 	k := &Keeper{terms: terms, startedAt: now, upstreams: map[uint32]*upstreamLease{}, entries: map[string]*entryLease{},
-		handovers: map[sliceName]*handover{}, ghostsGone: now + terms.surelyOver() + terms.maxHold + table.MaxSkew}
+		handovers: map[sliceName]*handover{}, tokens: map[string]tokens{}, ghostsGone: now + terms.surelyOver() + terms.maxHold + table.MaxSkew}
 	k.Follow(now, s)
 	return k
 }
@@ -142,7 +145,7 @@
 			if h := k.handovers[name]; h == nil || h.fence != e.Fence || h.owner != e.Owner {
 				owner, _ := s.Upstream(e.Owner)
 				k.handovers[name] = &handover{owner: e.Owner, fence: e.Fence, needHeld: owner.GrantsVersion,
-					needTable: s.Version(), since: now}
+					needTable: s.Version(), since: now, last: set.Last(i)}
 			}
 		}
 	}
@@ -190,10 +193,16 @@
 	if a.Sequence > l.sequence {
 		l.renewedAt = max(l.renewedAt, now-a.Age.Sure())
 	}
+	if a.Reports {
+		k.takeReport(s, u, a, a.Sequence > l.sequence)
+	}
 	l.sequence, l.held = a.Sequence, max(l.held, a.Held)
 	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, k.terms.lease.Milliseconds(), u.GrantsVersion
 	g.Draining = s.Drained(u)
-	if a.Held != u.GrantsVersion {
+	switch {
+	case a.Reports:
+		g.Changed, g.Grants = true, k.tokens[u.Service].mark(k.grants.of(s, u))
+	case a.Held != u.GrantsVersion:
 		g.Changed, g.Grants = true, k.grants.of(s, u)
 	}
 	return g
@@ -251,17 +260,42 @@
 func (k *Keeper) lapsed(now time.Duration, s *state.State) (numbers []uint32) {
 	for _, u := range s.Upstreams() {
 		l := k.upstreams[u.Number]
-		if l == nil || l.condemned || now-l.renewedAt < k.terms.surelyOver() {
+		if l == nil || l.condemned || now-l.renewedAt < k.patience(s, u) {
 			continue
 		}
 		if u.ChecksFence || k.tableSettled(now, s, u) {
 			l.condemned = true
 			numbers = append(numbers, u.Number)
+			k.forgetOwned(s, u)
 		}
 	}
 	return numbers
 }
 
+// unkeyedPatience is how long an upstream that owns no keys stays listed without a word: nothing waits for its lease, and
+// entry hosts see for themselves whether it answers. It covers a partition between control and upstreams.
+const unkeyedPatience = 30 * time.Second
+
+// patience returns how long after its last renewal an upstream is given up.
+func (k *Keeper) patience(s *state.State, u table.Upstream) time.Duration {
+	if _, keyed := s.Table(u.Service); !keyed && u.Reports && !s.Drained(u) {
+		return max(unkeyedPatience, k.terms.surelyOver())
+	}
+	return k.terms.surelyOver()
+}
+
+// forgetOwned drops what was left for an upstream that was lost, as it may have taken it over and changed the keys since.
+func (k *Keeper) forgetOwned(s *state.State, u table.Upstream) {
+	set, ok := s.Table(u.Service)
+	for i := 0; ok && u.Reports && i < set.Len(); i++ {
+		e := set.At(i)
+		h := k.handovers[sliceName{service: u.Service, start: e.Start}]
+		if e.Owner == u.Number && (h == nil || !h.freed) {
+			k.Forget(u.Service, e.Start, set.Last(i))
+		}
+	}
+}
+
 // tableSettled reports whether no entry host can still send to an unchecking upstream: each of its slices is being
 // handed over and that is known everywhere.
 func (k *Keeper) tableSettled(now time.Duration, s *state.State, u table.Upstream) bool {
@@ -320,7 +354,7 @@
 	if !ok || l == nil {
 		return true
 	}
-	if l.held < h.needHeld && now-l.renewedAt < k.terms.surelyOver() {
+	if !h.freed && l.held < h.needHeld && now-l.renewedAt < k.terms.surelyOver() {
 		return false
 	}
 	return owner.ChecksFence || k.entriesPast(now, h.needTable)
--- /dev/null
+++ b/internal/control/group/form.go
@@ -0,0 +1,252 @@
+package group
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Times of forming the group.
+const (
+	enrolPeriod  = 250 * time.Millisecond // a few tries fit into the time before callers come
+	enrolTimeout = 400 * time.Millisecond // a host that is not there yet must not hold up the next try
+	orphanTime   = 3 * time.Second        // a member that hears no leader for so long may have been taken out
+	deadTime     = 15 * time.Second       // a voter unheard for longer gives way if another host stands by
+	applicantAge = 2 * time.Second        // an applicant that stopped asking is not taken in
+	stepPause    = 50 * time.Millisecond  // pause between steps of membership, several commits long
+)
+
+// Forming tells how a control host finds its group.
+type Forming struct {
+	// Seeds are peer addresses to ask first; none means that operators form the group.
+	Seeds []string
+	// Found tells that this host starts the group if its folder is empty.
+	Found bool
+	// Voters is how many hosts are to vote; others stand by.
+	Voters int
+}
+
+// applicant is a control host that asks to be taken in.
+type applicant struct {
+	identity oper.Identity
+	at       time.Duration
+}
+
+// former is what a control host knows of others before it belongs to a group.
+type former struct {
+	mutex sync.Mutex
+	seeds []string
+	known []string
+}
+
+// SetSeeds changes the addresses that are asked for the group, as settings have changed.
+func (g *Group) SetSeeds(seeds []string) {
+	g.former.mutex.Lock()
+	defer g.former.mutex.Unlock()
+	g.former.seeds = slices.Clone(seeds)
+}
+
+// RunForming founds or finds the group until the context ends.
+func (g *Group) RunForming(ctx context.Context) error {
+	if len(g.options.Forming.Seeds) == 0 {
+		<-ctx.Done()
+		return nil
+	}
+	if g.options.Forming.Found {
+		g.found(ctx)
+	}
+	ticker := time.NewTicker(enrolPeriod)
+	defer ticker.Stop()
+	for {
+		if g.outside(ctx) {
+			g.askToEnrol(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// found starts a group of this host alone; others join it. It is done once, on a folder that never joined.
+func (g *Group) found(ctx context.Context) {
+	err := g.do(ctx, func() {
+		if g.store.Joined() {
+			return
+		}
+		self := agree.Replica{ID: g.store.ID(), Address: g.options.Address, DataCentre: g.options.DataCentre, Voter: true}
+		_, err := g.bootstrapNow(agree.NewMembers(self))
+		if err != nil {
+			g.options.Log.Write(events.ProposalLost, events.Cause(err))
+			return
+		}
+		g.options.Log.Write(events.GroupFounded, zap.Uint64("replica", uint64(g.store.ID())))
+	})
+	if err != nil {
+		g.options.Log.Write(events.ProposalLost, events.Cause(err))
+	}
+}
+
+// outside reports whether this host belongs to no group, or has heard of no leader for long.
+func (g *Group) outside(ctx context.Context) (outside bool) {
+	err := g.do(ctx, func() {
+		outside = g.core == nil || g.core.LeaderID() == 0 && g.now()-g.ledAt > orphanTime
+	})
+	return err == nil && outside
+}
+
+// askToEnrol tells every control host it knows that this one stands ready.
+func (g *Group) askToEnrol(ctx context.Context) {
+	var identity *oper.Identity
+	if g.do(ctx, func() { identity = g.identity() }) != nil {
+		return
+	}
+	g.options.Log.Write(events.Enrolled, zap.Uint64("replica", identity.ID), zap.Bool("joined", identity.Joined))
+	var wait sync.WaitGroup
+	for _, address := range g.acquaintances() {
+		wait.Go(func() { g.enrolAt(ctx, address, identity) })
+	}
+	wait.Wait()
+}
+
+func (g *Group) enrolAt(ctx context.Context, address string, identity *oper.Identity) {
+	ctx, cancel := context.WithTimeout(ctx, enrolTimeout)
+	defer cancel()
+	answer, err := wire.Call[oper.Identity, oper.EnrolAnswer](ctx, g.options.Client, address, oper.Enrol, identity)
+	if err != nil {
+		return // not there yet, or knows no leader: asked again next time
+	}
+	g.meet(answer.Addresses)
+}
+
+// acquaintances returns the addresses of other control hosts known so far.
+func (g *Group) acquaintances() (list []string) {
+	g.former.mutex.Lock()
+	defer g.former.mutex.Unlock()
+	for _, a := range slices.Concat(g.options.Forming.Seeds, g.former.seeds, g.former.known) {
+		if a != g.options.Address && !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (g *Group) meet(addresses []string) {
+	g.former.mutex.Lock()
+	defer g.former.mutex.Unlock()
+	g.former.known = slices.Clone(addresses)
+}
+
+// enrol notes a control host that asks to be taken in, at the leader.
+func (g *Group) enrol(ctx context.Context, i *oper.Identity) (*oper.EnrolAnswer, error) {
+	return atLeader(ctx, g, oper.Enrol, i, g.enrolHere)
+}
+
+func (g *Group) enrolHere(ctx context.Context, i *oper.Identity) (answer *oper.EnrolAnswer, err error) {
+	if len(g.options.Forming.Seeds) == 0 {
+		return nil, &oper.ErrRefused{Reason: "operators choose the members of this group"}
+	}
+	err = g.read(ctx, func(l *lead) error {
+		l.applicants[agree.ReplicaID(i.ID)] = applicant{identity: *i, at: g.now()}
+		answer = &oper.EnrolAnswer{}
+		for _, m := range g.core.Members() {
+			answer.Addresses = append(answer.Addresses, m.Address)
+		}
+		return nil
+	})
+	return answer, err
+}
+
+// reviewMembers takes the next step of membership that is due: take an applicant in, give it a vote, or let it replace a
+// member that is gone. One step at a time, each committed before the next.
+func (g *Group) reviewMembers(now time.Duration) {
+	l := g.lead
+	if len(g.options.Forming.Seeds) == 0 || now < l.membersAt || !g.core.MembersCommitted() {
+		return
+	}
+	l.membersAt = now + stepPause
+	next, reason := l.nextMembers(now, g)
+	if next == nil {
+		return
+	}
+	if _, _, err := g.core.ProposeMembers(now, next); err != nil {
+		g.options.Log.Write(events.ProposalLost, events.Cause(err))
+		return
+	}
+	g.options.Log.Write(events.MembersChanged, zap.String("reason", reason), zap.Int("members", len(next)), zap.Int("voters", next.Voters()))
+}
+
+// nextMembers returns the membership after the next step, or none.
+func (l *lead) nextMembers(now time.Duration, g *Group) (next agree.Members, reason string) {
+	members := g.core.Members()
+	for id, a := range l.applicants {
+		if now-a.at > applicantAge {
+			delete(l.applicants, id)
+			continue
+		}
+		if _, in := members.Find(id); in {
+			continue
+		}
+		if old, ok := memberAt(members, a.identity.Address); ok && old.ID != g.core.ID() {
+			if l.canLose(now, g, members, old) {
+				return members.Without(old.ID), "the host at " + old.Address + " has lost its disk"
+			}
+			continue
+		}
+		return members.With(agree.Replica{ID: id, Address: a.identity.Address, DataCentre: a.identity.DataCentre}), "a host asks to be taken in"
+	}
+	return l.promotion(now, g, members)
+}
+
+// promotion gives a caught-up learner a vote where one is wanted, and takes it from a member that is gone for long where a
+// learner stands by.
+func (l *lead) promotion(now time.Duration, g *Group, members agree.Members) (next agree.Members, reason string) {
+	for _, m := range members {
+		ready := !m.Voter && g.core.HeardWithin(now, m.ID, heardPeriod) && g.core.MatchIndex(m.ID) >= g.core.CommitIndex()
+		if !ready {
+			continue
+		}
+		if members.Voters() < g.options.Forming.Voters {
+			m.Voter = true
+			return members.With(m), "a learner is caught up"
+		}
+		for _, old := range members {
+			gone := old.Voter && old.ID != g.core.ID() && !g.core.HeardWithin(now, old.ID, deadTime)
+			if gone && l.canLose(now, g, members, old) {
+				g.options.Log.Write(events.MemberReplaced, zap.String("address", old.Address))
+				return members.Without(old.ID), "a voter is gone for long"
+			}
+		}
+	}
+	return nil, ""
+}
+
+// canLose reports whether the members that stay are a quorum of live hosts.
+func (l *lead) canLose(now time.Duration, g *Group, members agree.Members, old agree.Replica) bool {
+	rest := members.Without(old.ID)
+	heard := 0
+	for _, m := range rest {
+		if m.Voter && g.core.HeardWithin(now, m.ID, heardPeriod) {
+			heard++
+		}
+	}
+	return rest.Voters() > 0 && heard >= rest.Quorum()
+}
+
+func memberAt(members agree.Members, address string) (found agree.Replica, ok bool) {
+	for _, m := range members {
+		if m.Address == address {
+			return m, true
+		}
+	}
+	return agree.Replica{}, false
+}
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,8 @@
 	"ebonyrill.dev/ebonyrill/internal/control/state"
 	"ebonyrill.dev/ebonyrill/internal/control/store"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/clock"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
@@ -38,6 +41,7 @@
 	Timing     agree.Timing
 	Client     *wire.Client
 	Log        *events.Log
+	Forming    Forming
 }
 
 // disk is what a control host keeps across restarts.
@@ -80,6 +84,12 @@
 	prepared  preparedDeltas
 	forwarder forwarder
 	role      agree.Role
+	former    former
+	ledAt     time.Duration
+	reopen    func() (disk, error)
+	retryAt   time.Duration
+	lostDisk  bool
+	known     atomic.Pointer[items.Set]
 	stop      chan struct{}
 	done      chan struct{}
 }
@@ -100,15 +110,16 @@
 func Open(o Options) (g *Group, err error) {
 	defer func() { err = errors.WithMessage(err, "open control host") }()
 	newID := func() agree.ReplicaID { return agree.ReplicaID(rand.Uint64() | 1) }
-	d, err := store.Open(o.Folder, newID)
+	open := func() (disk, error) { return store.Open(o.Folder, newID) }
+	d, err := open()
 	if err != nil {
 		return nil, err
 	}
-	start := time.Now()
+	start := clock.Boot()
 	p := newPeers(o.Client)
-	g, err = assemble(o, d, p, func() time.Duration { return time.Since(start) + time.Millisecond })
+	g, err = assemble(o, d, p, func() time.Duration { return clock.Boot() - start + time.Millisecond })
 	if err == nil {
-		p.later = g.later
+		p.later, g.reopen = g.later, open
 	}
 	return g, err
 }
@@ -118,6 +129,7 @@
 	g = &Group{options: o, store: d, peers: p, clock: clock, inbox: make(chan agree.Message, inboxLength),
 		requests: make(chan func(), requestsLength), contacts: map[agree.ReplicaID]string{}, waiters: map[uint64]waiter{},
 		stop: make(chan struct{}), done: make(chan struct{}), state: state.New()}
+	g.known.Store(g.state.Items())
 	if g.store.Joined() {
 		return g, g.restore()
 	}
@@ -140,7 +152,7 @@
 func (g *Group) Run() (err error) {
 	defer func() { err = errors.WithMessage(err, "control host") }()
 	defer close(g.done)
-	defer func() { _ = g.store.Close() }()
+	defer g.closeDisk()
 	defer g.peers.stop()
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -159,7 +171,9 @@
 			err = g.perform()
 		}
 		if err != nil {
-			return err
+			if err = g.loseDisk(err); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -207,6 +221,9 @@
 }
 
 func (g *Group) receive(m agree.Message) (err error) {
+	if g.lostDisk {
+		return nil
+	}
 	if g.core == nil {
 		if m.To != g.store.ID() || !m.FromLeader() {
 			return nil
@@ -249,10 +266,13 @@
 
 func (g *Group) tick() (err error) {
 	if g.core == nil {
-		return nil
+		return g.findDisk()
 	}
 	now := g.now()
 	g.core.Tick(now)
+	if g.core.LeaderID() != 0 {
+		g.ledAt = now
+	}
 	if now < g.nextDuty {
 		return nil
 	}
@@ -286,6 +306,7 @@
 		}
 	}
 	g.noteRole()
+	g.known.Store(g.state.Items())
 	g.wakeWatchers()
 	return nil
 }
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -42,6 +42,8 @@
 	homes      table.Homes
 	reviewAt   time.Duration
 	excludedAt map[uint32]time.Duration
+	applicants map[agree.ReplicaID]applicant
+	membersAt  time.Duration
 }
 
 // serviceDuty is what the leader keeps for one service.
@@ -79,7 +81,7 @@
 	l := &lead{term: term, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
 		upstreams: map[uint32]*upstreamNote{}, lost: map[string]lostEntry{},
 		joining: map[string]uint64{}, health: place.NewHealth(), avoided: map[uint32]bool{},
-		excludedAt: map[uint32]time.Duration{}}
+		excludedAt: map[uint32]time.Duration{}, applicants: map[agree.ReplicaID]applicant{}}
 	for _, u := range s.Upstreams() {
 		l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: settledAge}
 	}
@@ -101,6 +103,7 @@
 	}
 	l := g.lead
 	l.follow(now, g.state)
+	g.reviewMembers(now)
 	for _, c := range l.keeper.Due(now, g.state) {
 		g.logDue(c)
 		g.proposeDuty(c)
@@ -247,6 +250,9 @@
 		}
 		d.planAt = now + planPeriod
 		view := place.NewView(v.Name(), set, d.loads.Rates(now, set), members, d.loads.Hot(now), v.Weights())
+		if v.Numbered() {
+			view = view.InUnits(slice.NumberUnit)
+		}
 		operations = append(operations, d.policy.Plan(now, view)...)
 	}
 	for _, o := range operations {
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -34,6 +34,10 @@
 	wire.Handle(mux, oper.Members, g.changeMembers)
 	wire.Handle(mux, oper.Status, g.status)
 	wire.Handle(mux, oper.Owners, g.owners)
+	wire.Handle(mux, oper.Enrol, g.enrol)
+	wire.Handle(mux, oper.Patch, g.patchHere)
+	wire.Handle(mux, oper.Items, func(ctx context.Context, r *oper.Empty) (*oper.ItemsAnswer, error) { return g.Items(ctx, r) })
+	wire.Handle(mux, oper.Leave, g.leaveHere)
 }
 
 // deliver takes in messages of a peer; what finds no room is dropped, as the sender repeats itself.
@@ -133,15 +137,25 @@
 		return table.GrantAnswer{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence,
 			Status: table.GrantRefused, Reason: reason}
 	}
+	if reason := g.unknownService(a); reason != "" {
+		return table.GrantAnswer{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Status: table.GrantRefused, Reason: reason}
+	}
 	answer := l.keeper.RenewUpstream(now, g.state, a)
 	u, _ := g.state.UpstreamNamed(a.Name)
 	switch {
+	case answer.Status == table.GrantJoining && a.Reports && g.outdated(a):
+		answer.Status, answer.Reason = table.GrantStale, "a newer process stands at the address"
 	case answer.Status == table.GrantJoining && l.joining[a.Name] < a.Incarnation:
 		l.joining[a.Name] = a.Incarnation
+		if numbers := g.displaced(a); a.Reports && len(numbers) > 0 {
+			g.options.Log.Write(events.UpstreamReplaced, zap.String("upstream", a.Name), zap.Uint32s("numbers", numbers))
+			l.keeper.Displace(g.state, numbers)
+			g.proposeDuty(state.Command{DropUpstreams: &state.DropUpstreams{Numbers: numbers}})
+		}
 		g.options.Log.Write(events.UpstreamJoined, zap.String("upstream", a.Name), zap.Uint64("incarnation", a.Incarnation))
 		g.proposeDuty(state.Command{JoinUpstream: &table.Upstream{Name: a.Name, Incarnation: a.Incarnation,
 			Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, ChecksFence: a.ChecksFence,
-			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving}})
+			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Reports: a.Reports}})
 	case answer.Status == table.GrantHeld && a.Leaving && !u.Leaving:
 		g.proposeDuty(state.Command{Drain: &state.Drain{Name: a.Name, On: true, Self: true}})
 	}
--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -79,6 +79,9 @@
 		return d
 	}
 	delta := g.state.DeltaSince(w.Version, w.Digest)
+	for _, m := range g.core.Members() {
+		delta.Control = append(delta.Control, table.ControlHost{Address: m.Address, DataCentre: m.DataCentre})
+	}
 	d := &preparedDelta{delta: &delta, encoded: sync.OnceValues(func() (*wire.Encoded, error) { return wire.Encode(delta) })}
 	p.deltas[key] = d
 	return d
--- a/internal/control/place/balance.go
+++ b/internal/control/place/balance.go
@@ -95,7 +95,7 @@
 	best := -1
 	for _, i := range from.owned {
 		e := p.view.set.At(i)
-		if p.taken[i] || e.Moving() || p.view.set.Last(i) == e.Start {
+		if p.taken[i] || e.Moving() || p.view.set.Last(i) == p.view.last(e.Start) {
 			continue
 		}
 		if best < 0 || p.loads[i] > p.loads[best] {
@@ -107,7 +107,7 @@
 		return false
 	}
 	e := p.view.set.At(best)
-	p.splitAt(e, e.Start+(p.view.set.Last(best)-e.Start)/2+1)
+	p.splitAt(e, max(p.view.floor(e.Start+(p.view.set.Last(best)-e.Start)/2+1), e.Start+p.view.unit))
 	p.taken[best] = true
 	return true
 }
--- a/internal/control/place/view.go
+++ b/internal/control/place/view.go
@@ -65,13 +65,26 @@
 	members []Member
 	hot     []HotKey
 	weights conf.Weights
+	unit    uint64
 }
 
 // NewView returns a view; rates holds the requests per second of each slice in order.
 func NewView(service string, set slice.Set, rates []float64, members []Member, hot []HotKey, weights conf.Weights) View {
-	return View{service: service, set: set, rates: rates, members: members, hot: hot, weights: weights}
+	return View{service: service, set: set, rates: rates, members: members, hot: hot, weights: weights, unit: 1}
 }
 
+// InUnits returns the view with cuts allowed only at multiples of a width in the hash space.
+func (v View) InUnits(unit uint64) View {
+	v.unit = unit
+	return v
+}
+
+// floor returns the start of the unit that holds a hash.
+func (v View) floor(hash uint64) uint64 { return hash / v.unit * v.unit }
+
+// last returns the last hash of the unit that holds a hash.
+func (v View) last(hash uint64) uint64 { return v.floor(hash) + (v.unit - 1) }
+
 // planned returns the upstream that will own the slice once its move is done.
 func planned(e slice.Slice) uint32 {
 	if e.Moving() {
--- a/internal/control/place/weighted.go
+++ b/internal/control/place/weighted.go
@@ -247,24 +247,24 @@
 		}
 		i := p.view.set.Position(k.hash)
 		e := p.view.set.At(i)
-		if p.taken[i] || e.Moving() || (e.Start == k.hash && p.view.set.Last(i) == k.hash) {
+		first, last := p.view.floor(k.hash), p.view.last(k.hash)
+		if p.taken[i] || e.Moving() || (e.Start == first && p.view.set.Last(i) == last) {
 			continue
 		}
-		p.cutOut(i, e, k.hash)
+		p.cutOut(i, e, first, last)
 		splits++
 	}
 }
 
-// cutOut splits a slice before and behind one hash.
-func (p *plan) cutOut(i int, e slice.Slice, hash uint64) {
-	last := p.view.set.Last(i)
-	if e.Start < hash {
-		p.splitAt(e, hash)
+// cutOut splits a slice before and behind one unit.
+func (p *plan) cutOut(i int, e slice.Slice, first, last uint64) {
+	if e.Start < first {
+		p.splitAt(e, first)
 	}
-	if hash < last {
+	if last < p.view.set.Last(i) {
 		middle := e
-		middle.Start = hash
-		p.splitAt(middle, hash+1)
+		middle.Start = first
+		p.splitAt(middle, last+1)
 	}
 	p.taken[i] = true
 }
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
@@ -16,6 +17,7 @@
 	DropEntry     *DropEntry       `cbor:"6,keyasint,omitempty"`
 	Plan          *Plan            `cbor:"7,keyasint,omitempty"`
 	ExcludeHome   *ExcludeHome     `cbor:"8,keyasint,omitempty"`
+	Patch         *Patch           `cbor:"9,keyasint,omitempty"`
 }
 
 // Publish replaces the set of service files if Base is still the version in force.
@@ -27,6 +29,11 @@
 	Files  []conf.File `cbor:"5,keyasint"`
 }
 
+// Patch sets and removes configuration items; it is taken in whole or not at all.
+type Patch struct {
+	Items []items.Item `cbor:"1,keyasint"`
+}
+
 // DropUpstreams removes incarnations of upstreams whose grants have surely ended.
 type DropUpstreams struct {
 	Numbers []uint32 `cbor:"1,keyasint"`
@@ -87,6 +94,7 @@
 type Result struct {
 	Outcome *table.Outcome
 	Number  uint32
+	Changed int
 	Refused string
 }
 
--- a/internal/control/state/delta.go
+++ b/internal/control/state/delta.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -25,6 +26,7 @@
 // addJournal adds what changed since the delta's start; each upstream and entry host appears once, as it is now.
 func (s *State) addJournal(d *table.Delta) {
 	upstreams, entries := map[uint32]bool{}, map[string]bool{}
+	changed := map[items.Key]bool{}
 	first, _ := slices.BinarySearchFunc(s.journal, d.From+1, func(j journalEntry, v uint64) int { return cmp.Compare(j.version, v) })
 	for _, j := range s.journal[first:] {
 		if j.changes.Service != "" {
@@ -36,7 +38,11 @@
 		for _, name := range j.entries {
 			entries[name] = true
 		}
+		for _, k := range j.items {
+			changed[k] = true
+		}
 	}
+	d.Items = s.itemsForEntries(func(k items.Key) bool { return changed[k] })
 	for _, number := range slices.Sorted(maps.Keys(upstreams)) {
 		if u, ok := s.Upstream(number); ok {
 			d.Upstreams = append(d.Upstreams, u)
@@ -56,6 +62,7 @@
 func (s *State) fullDelta(d table.Delta) table.Delta {
 	config := s.config
 	d.Full, d.Config, d.Upstreams, d.Entries = true, &config, s.Upstreams(), s.Entries()
+	d.Items = s.itemsForEntries(func(items.Key) bool { return true })
 	for _, t := range s.tables {
 		d.Tables = append(d.Tables, table.TableChanges{Service: t.name, Whole: t.set.Slices()})
 	}
--- a/internal/control/state/publish.go
+++ b/internal/control/state/publish.go
@@ -64,15 +64,7 @@
 	s.config = table.Config{Version: s.index, Digest: p.Digest, By: p.By, Files: p.Files}
 	s.services = services
 	s.version = s.index
-	for _, v := range services {
-		if s.table(v.Name()) != nil {
-			continue
-		}
-		fresh := serviceTable{name: v.Name(), set: s.freshSet(v.Slices()), changedAt: s.index, shapedAt: s.index}
-		s.tables = append(s.tables, fresh)
-		s.note(journalEntry{changes: table.TableChanges{Service: fresh.name, Whole: fresh.set.Slices()}})
-	}
-	slices.SortFunc(s.tables, func(a, b serviceTable) int { return strings.Compare(a.name, b.name) })
+	s.addTables(services, 0)
 }
 
 // freshSet returns slices without owners, with a fence from which all later ones grow.
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
@@ -22,12 +23,13 @@
 	Seen         []seenName           `cbor:"9,keyasint"`
 	Entries      []table.EntryHost    `cbor:"10,keyasint"`
 	Tables       []table.TableChanges `cbor:"11,keyasint"`
+	Items        []items.Item         `cbor:"12,keyasint,omitempty"`
 }
 
 // Encode returns the state as a snapshot carries it.
 func (s *State) Encode() ([]byte, error) {
 	m := image{Index: s.index, Version: s.version, Config: s.config, Outcomes: s.outcomes, OutcomeFloor: s.outcomeFloor,
-		Upstreams: s.upstreams, NextNumber: s.nextNumber, Drained: s.drained, Seen: s.seen, Entries: s.entries}
+		Upstreams: s.upstreams, NextNumber: s.nextNumber, Drained: s.drained, Seen: s.seen, Entries: s.entries, Items: s.items.All()}
 	for _, t := range s.tables {
 		m.Tables = append(m.Tables, table.TableChanges{Service: t.name, Whole: t.set.Slices()})
 	}
@@ -46,8 +48,9 @@
 	}
 	s = &State{index: m.Index, version: m.Version, config: m.Config, outcomes: m.Outcomes, outcomeFloor: m.OutcomeFloor,
 		upstreams: m.Upstreams, nextNumber: m.NextNumber, drained: m.Drained, seen: m.Seen, entries: m.Entries,
-		journalFloor: m.Version}
+		journalFloor: m.Version, items: items.FromItems(m.Items)}
 	s.indexNames()
+	s.listKeyed()
 	if s.services, err = conf.ParseSet(m.Config.Files); err != nil {
 		return nil, err
 	}
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
@@ -26,6 +27,8 @@
 	version      uint64
 	config       table.Config
 	services     []*conf.Service
+	items        *items.Set
+	keyed        []*conf.Service
 	outcomes     []table.Outcome
 	outcomeFloor string
 	upstreams    []table.Upstream
@@ -64,11 +67,12 @@
 	changes   table.TableChanges
 	upstreams []uint32
 	entries   []string
+	items     []items.Key
 }
 
 // New returns an empty state.
 func New() *State {
-	s := &State{nextNumber: 1}
+	s := &State{nextNumber: 1, items: items.NewSet()}
 	s.indexNames()
 	return s
 }
@@ -98,6 +102,8 @@
 		return Result{}, s.plan(*c.Plan)
 	case c.ExcludeHome != nil:
 		return s.excludeHome(*c.ExcludeHome), nil
+	case c.Patch != nil:
+		return s.patch(*c.Patch), nil
 	}
 	return Result{}, errors.New("unknown command")
 }
@@ -114,12 +120,12 @@
 // Config returns the configuration in force.
 func (s *State) Config() table.Config { return s.config }
 
-// Services returns the services in force, parsed.
-func (s *State) Services() []*conf.Service { return s.services }
+// Services returns the services whose keys are divided among upstreams: those of files, then those of items.
+func (s *State) Services() []*conf.Service { return slices.Concat(s.services, s.keyed) }
 
 // Service returns a service by name, or nil.
 func (s *State) Service(name string) *conf.Service {
-	for _, v := range s.services {
+	for _, v := range s.Services() {
 		if v.Name() == name {
 			return v
 		}
--- /dev/null
+++ b/internal/entry/broker/answer.go
@@ -0,0 +1,118 @@
+package broker
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/conns"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect"}
+
+// forwarded returns the headers of a request that go on to the upstream, less those that the broker sets itself.
+func forwarded(h http.Header, d Dialect) http.Header {
+	next := withoutHops(h)
+	delete(next, http.CanonicalHeaderKey(d.TimeLeft))
+	delete(next, http.CanonicalHeaderKey(d.Instance))
+	return next
+}
+
+func withoutHops(h http.Header) http.Header {
+	next := h.Clone()
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			next.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(next, name)
+	}
+	return next
+}
+
+// pass returns an upstream's answer as the caller gets it.
+func (j *job) pass(got *conns.Answer, cancel context.CancelFunc) *serve.Answer {
+	header := withoutHops(got.Header)
+	header.Del(j.broker.options.Dialect.Load)
+	a := &serve.Answer{Status: got.Status, Header: header, Body: got.Body, Rest: got.Rest, Length: got.Length}
+	if got.Rest == nil {
+		cancel()
+		j.settle(got.Status, Done, ReasonAnswered)
+		return a
+	}
+	a.Done = func(written bool) {
+		got.End(written)
+		cancel()
+		j.settle(got.Status, Done, ReasonAnswered)
+	}
+	return a
+}
+
+// refuse returns the answer to a request that has not run and will not run; pause is when another try makes sense. Where an
+// earlier try may have run nothing is promised.
+func (j *job) refuse(reason Reason, pause time.Duration) *serve.Answer {
+	if j.mayRan {
+		return j.unknown(reason)
+	}
+	j.settle(http.StatusServiceUnavailable, NotRun, reason)
+	a := serve.Text(http.StatusServiceUnavailable, "not run: "+string(reason))
+	a.Header.Set("Retry-After", strconv.FormatFloat(max(pause, time.Millisecond).Seconds(), 'f', 3, 64))
+	return a
+}
+
+// unknown returns the answer to a request that may have run.
+func (j *job) unknown(reason Reason) *serve.Answer {
+	if j.last != nil {
+		return j.pass(j.last, func() {})
+	}
+	j.settle(http.StatusBadGateway, Unknown, reason)
+	return serve.Text(http.StatusBadGateway, "no answer came from the upstream: "+string(reason))
+}
+
+// fail returns an answer to a request that is not forwarded.
+func (j *job) fail(status int, reason Reason) *serve.Answer {
+	j.settle(status, NotRun, reason)
+	return serve.Text(status, string(reason))
+}
+
+// outOfTime returns the answer once the caller's time or the route's is over, or the caller has gone.
+func (j *job) outOfTime(ctx context.Context) *serve.Answer {
+	if ctx.Err() == context.Canceled {
+		j.settle(0, Unknown, ReasonCallerGone)
+		return nil
+	}
+	if !j.mayRan {
+		return j.refuse(ReasonTimeout, turnedPause)
+	}
+	if j.last != nil {
+		return j.pass(j.last, func() {})
+	}
+	j.settle(http.StatusGatewayTimeout, Unknown, ReasonTimeout)
+	return serve.Text(http.StatusGatewayTimeout, "the upstream did not answer in time")
+}
+
+// giveUp returns the answer once no further try is allowed.
+func (j *job) giveUp(ctx context.Context) *serve.Answer {
+	if ctx.Err() != nil {
+		return j.outOfTime(ctx)
+	}
+	return j.refuse(j.reason, turnedPause)
+}
+
+// settle notes the final answer.
+func (j *job) settle(status int, o Outcome, reason Reason) {
+	b := j.broker
+	r := Record{ID: j.id, Route: j.match.Name, Service: j.service, Upstream: j.upstream, Attempts: j.attempts, Status: status,
+		Outcome: o, Reason: reason, Took: b.options.Clock() - j.arrived, Waited: j.waited, Version: b.options.Table.View().Version()}
+	if j.match.Route != nil {
+		r.Priority, r.Objective = j.match.Route.Priority, j.match.Route.Objective
+	}
+	b.options.Observer.Settled(r)
+	b.logRecord(r)
+}
--- /dev/null
+++ b/internal/entry/broker/types.go
@@ -0,0 +1,149 @@
+package broker
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/clock"
+)
+
+// Dialect names the headers by which callers and upstreams of a platform tell what the broker needs to know.
+type Dialect struct {
+	// RequestID names one try of a caller; upstreams repeat it.
+	RequestID string
+	// TimeLeft is how many milliseconds the sender still waits.
+	TimeLeft string
+	// Instance names the upstream that alone may run the request.
+	Instance string
+	// NotRun marks answers to requests that did not run.
+	NotRun string
+	// Load holds running, waiting and slots of an upstream.
+	Load string
+	// Proof stands on every answer that an upstream's own server gave.
+	Proof string
+	// Key holds the numbered key of a request.
+	Key string
+}
+
+// Budget bounds tries beyond the first, over all entry hosts: Share of a service's requests and Base more in each Window.
+type Budget struct {
+	Share  float64
+	Base   float64
+	Window time.Duration
+}
+
+// Observer hears of what requests meet.
+type Observer interface {
+	// Arrived counts a request for a numbered key of a service.
+	Arrived(service string, start, hash uint64)
+	// Settled counts a request's final answer.
+	Settled(r Record)
+}
+
+// Options describe an entry host's broker.
+type Options struct {
+	Host       string
+	DataCentre string
+	Dialect    Dialect
+	Table      *route.Table
+	Budget     Budget
+	// LeaveTime is how long an upstream may be sent requests after it said that it leaves.
+	LeaveTime time.Duration
+	Observer  Observer
+	Log       *events.Log
+	Clock     clock.Clock
+}
+
+// Outcome is what became of a request as far as its caller is concerned.
+type Outcome string
+
+// Outcomes.
+const (
+	Done    Outcome = "done"
+	NotRun  Outcome = "notRun"
+	Unknown Outcome = "unknown"
+)
+
+// Reason tells why a request ended as it did.
+type Reason string
+
+// Reasons.
+const (
+	ReasonAnswered    Reason = "answered"
+	ReasonNoRoute     Reason = "noRoute"
+	ReasonNoConfig    Reason = "noConfig"
+	ReasonBadRequest  Reason = "badRequest"
+	ReasonNoUpstream  Reason = "noUpstream"
+	ReasonNoOwner     Reason = "noOwner"
+	ReasonNotReached  Reason = "notReached"
+	ReasonTurnedAway  Reason = "turnedAway"
+	ReasonOverloaded  Reason = "overloaded"
+	ReasonUnanswered  Reason = "unanswered"
+	ReasonTimeout     Reason = "timeout"
+	ReasonCallerGone  Reason = "callerGone"
+	ReasonBudgetSpent Reason = "budgetSpent"
+)
+
+// Record is what is known of a request once it has its final answer.
+type Record struct {
+	ID        string
+	Route     string
+	Service   string
+	Priority  int
+	Upstream  string
+	Attempts  int
+	Status    int
+	Outcome   Outcome
+	Reason    Reason
+	Took      time.Duration
+	Waited    time.Duration
+	Objective time.Duration
+	Version   uint64
+}
+
+// deadlineOf returns how long a caller waits, or false where its header names no time.
+func (d Dialect) deadlineOf(h http.Header) (left time.Duration, ok bool) {
+	n, err := strconv.ParseFloat(h.Get(d.TimeLeft), 64)
+	if err != nil || n < 0 || n > maxTimeLeft {
+		return 0, false
+	}
+	return time.Duration(n * float64(time.Millisecond)), true
+}
+
+// maxTimeLeft is the longest time that a caller's header is believed, in milliseconds.
+const maxTimeLeft = 3_600_000
+
+// loadOf returns what an answer tells of the upstream's load.
+func (d Dialect) loadOf(h http.Header) (running, waiting, slots int, ok bool) {
+	text := h.Get(d.Load)
+	if text == "" {
+		return 0, 0, 0, false
+	}
+	numbers := [3]int{}
+	for i := range numbers {
+		part := text
+		if cut := indexComma(text); cut >= 0 {
+			part, text = text[:cut], text[cut+1:]
+		} else {
+			text = ""
+		}
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return 0, 0, 0, false
+		}
+		numbers[i] = n
+	}
+	return numbers[0], numbers[1], numbers[2], true
+}
+
+func indexComma(s string) int {
+	for i := range len(s) {
+		if s[i] == ',' {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/entry/conns/pool.go
@@ -0,0 +1,189 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Times and bounds of connections to upstreams.
+const (
+	dialTimeout    = 700 * time.Millisecond // one lost opening packet is sent again within a second; longer means no path
+	idleShare      = 0.7                    // part of the idle time that an upstream grants after which a connection is not used again
+	defaultIdle    = 4 * time.Second        // idle time where the upstream names none
+	probePeriod    = time.Second            // pause between probes of a silent connection
+	probeCount     = 3                      // probes unanswered before a connection counts as broken
+	userTimeout    = 4 * time.Second        // bytes unacknowledged for longer break the connection
+	maxIdlePerHost = 16                     // idle connections kept for one upstream
+	answerBuffer   = 4 << 10                // read buffer of one connection, in bytes
+)
+
+// Conn is one connection to an upstream.
+type Conn struct {
+	raw     net.Conn
+	reader  *bufio.Reader
+	key     string
+	idleAt  time.Time
+	idleFor time.Duration
+	uses    int
+}
+
+// Pool keeps idle connections by upstream.
+type Pool struct {
+	mutex  sync.Mutex
+	idle   map[string][]*Conn
+	dials  int64
+	reuses int64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+
+// Counts returns how many connections were opened and how often one was used again.
+func (p *Pool) Counts() (dials, reuses int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.dials, p.reuses
+}
+
+// get returns an idle connection that shows no sign of its end, or a new one. The key names the upstream's process, so that a
+// connection to an earlier process at the address is never used for a later one. Idle connections that rested for longer than
+// maxIdle are passed over.
+func (p *Pool) get(ctx context.Context, key, address string, maxIdle time.Duration) (c *Conn, err error) {
+	for {
+		c = p.take(key)
+		if c == nil {
+			return p.dial(ctx, key, address)
+		}
+		rested := time.Since(c.idleAt)
+		if rested < min(c.idleFor, maxIdle) && c.quiet() {
+			p.mutex.Lock()
+			p.reuses++
+			p.mutex.Unlock()
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) take(key string) *Conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[key]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[key] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, key, address string) (c *Conn, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	p.mutex.Lock()
+	p.dials++
+	p.mutex.Unlock()
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probePeriod, Interval: probePeriod, Count: probeCount}}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.WithMessage(err, "connect to upstream")
+	}
+	limitUnacknowledged(raw)
+	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, answerBuffer), key: key, idleFor: time.Duration(float64(defaultIdle) * idleShare)}, nil
+}
+
+// limitUnacknowledged bounds how long sent bytes may stay unacknowledged; without it a partition shows only after minutes.
+// Where the system refuses the option the deadlines of exchanges still hold.
+func limitUnacknowledged(raw net.Conn) {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	control, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = control.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+}
+
+// put keeps a connection whose exchange ended cleanly.
+func (p *Pool) put(c *Conn) {
+	c.idleAt = time.Now()
+	c.uses++
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[c.key]) >= maxIdlePerHost {
+		c.Close()
+		return
+	}
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
+// Forget closes the idle connections to one upstream process.
+func (p *Pool) Forget(key string) {
+	p.mutex.Lock()
+	list := p.idle[key]
+	delete(p.idle, key)
+	p.mutex.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Sweep closes the connections that have rested too long and forgets upstreams that are not in the list.
+func (p *Pool) Sweep(keep func(key string) bool) {
+	p.mutex.Lock()
+	var ended []*Conn
+	for key, list := range p.idle {
+		var fresh []*Conn
+		for _, c := range list {
+			if keep(key) && time.Since(c.idleAt) < c.idleFor {
+				fresh = append(fresh, c)
+			} else {
+				ended = append(ended, c)
+			}
+		}
+		p.idle[key] = fresh
+		if len(fresh) == 0 {
+			delete(p.idle, key)
+		}
+	}
+	p.mutex.Unlock()
+	for _, c := range ended {
+		c.Close()
+	}
+}
+
+// Close ends a connection.
+func (c *Conn) Close() { _ = c.raw.Close() }
+
+// quiet reports whether nothing waits to be read on an idle connection: neither bytes of a late answer nor its end.
+func (c *Conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	control, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peekErr == unix.EAGAIN || peekErr == unix.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -252,6 +252,9 @@
 		return false
 	}
 	after := f.options.Table.View()
+	if len(d.Control) > 0 {
+		f.learn(d.Control)
+	}
 	f.options.Log.Write(events.TableApplied, zap.Uint64("version", after.Version()))
 	if after.Config().Version != before.Config().Version {
 		f.options.Log.Write(events.ConfigInForce, zap.Uint64("version", after.Config().Version))
@@ -262,6 +265,19 @@
 	return true
 }
 
+// learn notes where control hosts are, those of this host's data centre first.
+func (f *Follower) learn(control []table.ControlHost) {
+	var near, far []string
+	for _, h := range control {
+		if h.DataCentre == f.options.Host.DataCentre {
+			near = append(near, h.Address)
+		} else {
+			far = append(far, h.Address)
+		}
+	}
+	f.options.Hosts.Learn(near, far)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/entry/pick/doc.go
@@ -0,0 +1,2 @@
+// Package pick chooses an upstream for a request that any upstream of a service may answer.
+package pick
--- a/internal/entry/route/route.go
+++ b/internal/entry/route/route.go
@@ -100,6 +100,18 @@
 	return target
 }
 
+// Owner returns the upstream that holds the hash by the view, and where its slice starts. One that hands the slice over still
+// counts, as it serves until it has let go.
+func Owner(v *table.View, service string, hash uint64) (u table.Upstream, start uint64, ok bool) {
+	set, ok := v.Set(service)
+	if !ok {
+		return u, 0, false
+	}
+	s := set.Find(hash)
+	u, ok = v.Upstream(s.Owner)
+	return u, s.Start, ok
+}
+
 // Find returns where a request for the hash goes now.
 func (t *Table) Find(service string, hash uint64) Target { return Find(t.view.Load(), service, hash) }
 
--- /dev/null
+++ b/internal/entry/serve/types.go
@@ -0,0 +1,44 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Request is one request of a caller, its body read whole; Arrived is when its first byte was read, by the clock of the
+// server's options.
+type Request struct {
+	HTTP    *http.Request
+	Body    []byte
+	Arrived time.Duration
+}
+
+// Answer is what a handler returns. A body that is not whole in Body continues in Rest, which is Length bytes long in all,
+// or of unknown length where Length is below 0. Done is called once the answer was written or given up.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.Reader
+	Length int64
+	Close  bool
+	Done   func(written bool)
+}
+
+// Handler answers requests; the context ends when the caller has gone.
+type Handler func(ctx context.Context, r *Request) *Answer
+
+// Limits bound what a caller may send; they are asked for anew for each request.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Text returns an answer of the server's own with a line of text.
+func Text(status int, text string) *Answer {
+	return &Answer{Status: status, Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, Body: []byte(text + "\n")}
+}
--- a/internal/entry/tally/tally.go
+++ b/internal/entry/tally/tally.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/sketch"
 	"ebonyrill.dev/ebonyrill/internal/ops/burn"
@@ -102,6 +103,28 @@
 	return burn.Good
 }
 
+// Settled counts the final answer to a request that was routed by items.
+func (t *Tally) Settled(r broker.Record) {
+	t.requests.WithLabelValues(r.Service, string(r.Outcome), string(r.Reason)).Inc()
+	t.latency.WithLabelValues(r.Service).Observe(r.Took.Seconds())
+	t.book.Add(r.Service, time.Now(), causeOf(r))
+}
+
+// causeOf tells what spoiled a request that was routed by items, if anything did.
+func causeOf(r broker.Record) burn.Cause {
+	switch {
+	case r.Reason == broker.ReasonOverloaded || r.Reason == broker.ReasonTurnedAway:
+		return burn.Shed
+	case r.Reason == broker.ReasonNoOwner:
+		return burn.Moved
+	case r.Outcome != broker.Done || r.Status >= http.StatusInternalServerError:
+		return burn.Unavailable
+	case r.Objective > 0 && r.Took > r.Objective:
+		return burn.Slow
+	}
+	return burn.Good
+}
+
 // Book returns the counts for the report on service-level burn.
 func (t *Tally) Book() *burn.Book { return t.book }
 
--- a/internal/ops/cmds/docs_test.go
+++ b/internal/ops/cmds/docs_test.go
@@ -37,7 +37,7 @@
 func TestCommandPagesAreInStep(t *testing.T) {
 	c := qt.New(t)
 	want := "# Commands\n\nMade from the programs' own help; a test holds both together.\n" +
-		helpPages("ebonyrill", operatorParser(io.Discard), Operator) + helpPages("ebonyrilld", daemonParser(io.Discard), Daemon)
+		helpPages("ebonyrill", operatorParser(io.Discard), Operator) + helpPages("ebonyrilld", daemonParser(io.Discard, nil), daemonAlone)
 	const file = "../../../docs/COMMANDS.md"
 	if os.Getenv("EBONYRILL_WRITE_DOCS") != "" {
 		c.Assert(os.WriteFile(file, []byte(want), 0o644), qt.IsNil)
@@ -62,7 +62,7 @@
 			words := strings.Fields(m[2])
 			p := operatorParser(io.Discard)
 			if m[1] == "ebonyrilld" {
-				p = daemonParser(io.Discard)
+				p = daemonParser(io.Discard, nil)
 			}
 			command := p.Find(words[0])
 			c.Check(command, qt.IsNotNil, qt.Commentf("%s: %s", page, m[0]))
@@ -100,3 +100,6 @@
 		})
 	}
 }
+
+// daemonAlone runs the daemon's command line without a platform.
+func daemonAlone(args []string, out, errOut io.Writer) int { return Daemon(args, out, errOut, nil) }
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -23,8 +23,10 @@
 	d.registerGauges()
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Post("/v1/announce", d.serveAnnounce)
-	app.Get("/v1/status", d.serveStatus)
+	if d.settings.Entry() {
+		app.Post("/v1/announce", d.serveAnnounce)
+		app.Get("/v1/status", d.serveStatus)
+	}
 	app.Get("/readyz", d.serveReady)
 	app.Get("/livez", func(c iris.Context) { _, _ = c.WriteString("alive\n") })
 	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
@@ -43,6 +45,9 @@
 	counter := func(name, help string, value func() int64) {
 		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
 	}
+	if !d.settings.Entry() {
+		return
+	}
 	counter("ebonyrill_control_sent_bytes_total", "Bytes sent in calls to control hosts.", d.client.Traffic().Sent)
 	counter("ebonyrill_control_received_bytes_total", "Bytes received in answers of control hosts.", d.client.Traffic().Received)
 	gauge("ebonyrill_table_version", "Version of the table in force.", func() float64 { return float64(d.table.View().Version()) })
@@ -84,7 +89,7 @@
 
 // serveReady tells the balancer whether to send callers here.
 func (d *Daemon) serveReady(c iris.Context) {
-	if d.stopping.Load() || d.table.View().Version() == 0 {
+	if !d.isReady() {
 		c.StopWithText(http.StatusServiceUnavailable, "not ready\n")
 		return
 	}
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -19,9 +19,11 @@
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
 	"ebonyrill.dev/ebonyrill/internal/control/grant"
 	"ebonyrill.dev/ebonyrill/internal/control/group"
+	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/follow"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/entry/tally"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
@@ -53,6 +55,13 @@
 	relay    *relay.Handler
 	registry *prometheus.Registry
 	client   *wire.Client
+	hosts    *wire.Hosts
+	file     string
+	platform Platform
+	broker   *broker.Broker
+	front    *serve.Server
+	outside  *http.Server
+	ready    *http.Server
 	callers  *http.Server
 	peers    *http.Server
 	admin    *http.Server
@@ -61,9 +70,10 @@
 }
 
 // New puts a daemon together; nothing listens yet.
-func New(settings *conf.Settings) (d *Daemon, err error) {
+// The platform may be nil on a host that speaks only the project's own protocols; file is where the settings were read from.
+func New(settings *conf.Settings, file string, platform Platform) (d *Daemon, err error) {
 	defer func() { err = errors.WithMessage(err, "start daemon") }()
-	d = &Daemon{settings: settings, registry: prometheus.NewRegistry()}
+	d = &Daemon{settings: settings, file: file, platform: platform, registry: prometheus.NewRegistry()}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if d.log, err = events.New(settings.LogLevel(), settings.LogLayers(), settings.Name()); err != nil {
 		return nil, err
@@ -75,7 +85,9 @@
 	if err = d.openGroup(); err != nil {
 		return nil, err
 	}
-	d.openEntry()
+	if d.settings.Entry() {
+		d.openEntry()
+	}
 	d.servers()
 	return d, nil
 }
@@ -95,7 +107,8 @@
 		return nil
 	}
 	d.group, err = group.Open(group.Options{Name: d.settings.Name(), Address: d.settings.Peers(),
-		DataCentre: d.settings.DataCentre(), Folder: d.settings.DataFolder(), Timing: agree.DefaultTiming(), Client: d.client,
+		DataCentre: d.settings.DataCentre(), Folder: d.settings.DataFolder(), Timing: agree.TimingFor(d.settings.Heartbeat()),
+		Client: d.client, Forming: d.forming(),
 		Terms: grant.NewTerms(d.settings.LeaseTime(), d.settings.MaxHold()), Log: d.log})
 	return err
 }
@@ -105,21 +118,31 @@
 	d.tally = tally.New(d.registry)
 	host := table.EntryHost{Name: d.settings.Name(), Incarnation: uint64(time.Now().UnixNano()),
 		Address: d.settings.Peers(), DataCentre: d.settings.DataCentre()}
-	d.follower = follow.New(follow.Options{Host: host, Hosts: wire.NewHosts(d.client, d.settings.Control()),
+	d.hosts = wire.NewHosts(d.client, d.settings.Control())
+	d.follower = follow.New(follow.Options{Host: host, Hosts: d.hosts,
 		Lease: d.settings.LeaseTime(), Table: d.table, Tally: d.tally, Log: d.log})
 	d.relay = relay.NewHandler(relay.Options{Name: d.settings.Name(), Table: d.table, Scheme: d.client.Scheme(),
 		Security: d.security, MaxBody: int64(d.settings.MaxBodyBytes()), MaxHeader: d.settings.MaxHeaderBytes(), MaxHold: d.settings.MaxHold(),
 		Lease: d.follower.LeaseEnd, Observer: d.tally, Log: d.log})
+	if d.settings.Routing() == conf.RoutingItems && d.platform != nil {
+		d.openBroker()
+	}
 }
 
 func (d *Daemon) servers() {
-	d.callers = &http.Server{Handler: d.counted(http.HandlerFunc(d.relay.ServeHTTP)), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: callerIdle, MaxHeaderBytes: headerSlack * d.settings.MaxHeaderBytes()}
-	d.peers = &http.Server{Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
-		MaxHeaderBytes: d.callers.MaxHeaderBytes}
-	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
-	for _, server := range []*http.Server{d.callers, d.peers, d.admin} {
-		server.ErrorLog = d.serverLog()
+	maxHeader := headerSlack * d.settings.MaxHeaderBytes()
+	server := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader, ErrorLog: d.serverLog()}
+	}
+	d.peers, d.admin = server(d.peerHandler()), server(d.adminHandler())
+	if d.settings.Entry() && d.broker == nil {
+		d.callers = server(d.counted(http.HandlerFunc(d.relay.ServeHTTP)))
+	}
+	if d.settings.Ready() != "" {
+		d.ready = server(http.HandlerFunc(d.serveReadyAlone))
+	}
+	if d.settings.Upstreams() != "" && d.group != nil && d.platform != nil {
+		d.outside = server(d.platform.Control(d.group, d.settings, d.log))
 	}
 	if d.security != nil {
 		d.peers.TLSConfig = d.security.ServerConfig()
@@ -148,15 +171,27 @@
 	defer cancel()
 	if d.group != nil {
 		parts.Add(d.group.Run, func(error) { d.group.Stop() })
+		parts.Add(func() error { return d.group.RunForming(ctx) }, func(error) { cancel() })
+	}
+	if d.follower != nil {
+		parts.Add(func() error { return d.follower.RunRenewals(ctx) }, func(error) { cancel() })
+		parts.Add(func() error { return d.follower.RunWatch(ctx) }, func(error) { cancel() })
+	}
+	if d.broker != nil {
+		if err = d.addBroker(ctx, cancel, &parts); err != nil {
+			return err
+		}
 	}
-	parts.Add(func() error { return d.follower.RunRenewals(ctx) }, func(error) { cancel() })
-	parts.Add(func() error { return d.follower.RunWatch(ctx) }, func(error) { cancel() })
 	for _, s := range []served{{d.callers, d.settings.Callers(), false}, {d.peers, d.settings.Peers(), d.security != nil},
-		{d.admin, d.settings.Admin(), false}} {
+		{d.admin, d.settings.Admin(), false}, {d.ready, d.settings.Ready(), false}, {d.outside, d.settings.Upstreams(), false}} {
+		if s.server == nil {
+			continue
+		}
 		if err = s.addTo(&parts); err != nil {
 			return err
 		}
 	}
+	parts.Add(func() error { return d.watchSettings(ctx) }, func(error) { cancel() })
 	d.addSignals(&parts)
 	d.log.Write(events.Ready, zap.String("callers", d.settings.Callers()))
 	if err = parts.Run(); err != nil {
@@ -222,14 +257,26 @@
 		case <-ctx.Done():
 		}
 	}()
-	pause(ctx, d.settings.DrainNotice())
-	d.follower.Leave()
-	d.awaitLeft(ctx)
-	_ = d.callers.Shutdown(ctx)
+	if d.settings.Entry() {
+		pause(ctx, d.settings.DrainNotice())
+		d.follower.Leave()
+	}
+	switch {
+	case d.front != nil:
+		if err := d.front.Shutdown(ctx); err != nil {
+			d.log.Write(events.DrainCut, zap.Int("connections", d.front.Count()), events.Cause(err))
+		}
+	case d.callers != nil:
+		d.awaitLeft(ctx)
+		_ = d.callers.Shutdown(ctx)
+	}
 	d.awaitFlights(ctx)
 	if d.group != nil {
 		d.group.HandOver(ctx)
 		pause(ctx, handOverPause)
+		if d.outside != nil {
+			_ = d.outside.Shutdown(ctx)
+		}
 	}
 	_ = d.peers.Shutdown(ctx)
 	if d.flights.Load() > 0 {
--- /dev/null
+++ b/internal/ops/daemon/items.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/oklog/run"
+
+	"ebonyrill.dev/ebonyrill/internal/control/group"
+	"ebonyrill.dev/ebonyrill/internal/entry/broker"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/clock"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+)
+
+// Platform adapts the daemon to the protocols of a platform; it translates and decides nothing.
+type Platform interface {
+	// Dialect names the headers of callers and upstreams.
+	Dialect() broker.Dialect
+	// Control serves announcements and operators' calls at a control host.
+	Control(g *group.Group, s *conf.Settings, log *events.Log) http.Handler
+}
+
+// forming returns how a control host finds its group.
+func (d *Daemon) forming() (f group.Forming) {
+	if !d.settings.Forms() {
+		return f
+	}
+	return group.Forming{Seeds: d.settings.Control(), Found: d.settings.Founds(), Voters: d.settings.Voters()}
+}
+
+// openBroker makes the parts that route callers' requests by configuration items.
+func (d *Daemon) openBroker() {
+	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Dialect: d.platform.Dialect(),
+		Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.tally, Log: d.log, Clock: clock.Boot,
+		Budget: broker.Budget{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
+	d.front = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, Refused: d.broker.Refused})
+}
+
+// addBroker listens for callers and adds the broker's parts to those that stop together.
+func (d *Daemon) addBroker(ctx context.Context, cancel func(), parts *run.Group) (err error) {
+	listener, err := net.Listen("tcp", d.settings.Callers())
+	if err != nil {
+		return err
+	}
+	parts.Add(func() error { return d.front.Serve(listener) }, func(error) { d.front.Close() })
+	parts.Add(func() error { return d.broker.Run(ctx) }, func(error) { cancel() })
+	return nil
+}
+
+// serveReadyAlone answers the balancer at an address of its own, whatever the path.
+func (d *Daemon) serveReadyAlone(w http.ResponseWriter, _ *http.Request) {
+	if !d.isReady() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// isReady reports whether the balancer may send callers here.
+func (d *Daemon) isReady() bool {
+	if d.stopping.Load() || d.table == nil {
+		return false
+	}
+	view := d.table.View()
+	if d.broker != nil {
+		return !view.Items().Router().Empty()
+	}
+	return view.Version() > 0
+}
--- a/internal/ops/daemon/peers.go
+++ b/internal/ops/daemon/peers.go
@@ -13,12 +13,17 @@
 // peerHandler serves calls of other daemons and of operators, and requests that other entry hosts pass on.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	wire.Handle(mux, oper.Burn, d.burn)
+	if d.tally != nil {
+		wire.Handle(mux, oper.Burn, d.burn)
+	}
 	if d.group != nil {
 		d.group.Serve(mux)
 	} else {
 		d.pointToControl(mux)
 	}
+	if d.relay == nil {
+		return mux
+	}
 	hops := d.counted(http.HandlerFunc(d.relay.ServeHop))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(relay.HeaderHop) != "" {
--- a/internal/shared/conf/fault.go
+++ b/internal/shared/conf/fault.go
@@ -21,7 +21,18 @@
 	if f.Key != "" {
 		where = f.Section + "." + f.Key
 	}
-	return fmt.Sprintf("%s:%d: %s: found %q; allowed: %s", f.File, f.Line, where, f.Found, f.Allowed)
+	return fmt.Sprintf("%s:%d: %s: found %s; allowed: %s", f.File, f.Line, where, readable(f.Found), f.Allowed)
+}
+
+// maxFound is how much of what was found is shown, in characters.
+const maxFound = 80
+
+// readable returns a text in quotes, cut to a length that fits a line.
+func readable(s string) string {
+	if r := []rune(s); len(r) > maxFound {
+		return fmt.Sprintf("%q and %d more characters", string(r[:maxFound]), len(r)-maxFound)
+	}
+	return fmt.Sprintf("%q", s)
 }
 
 // ErrFaults is returned for a file that fails its check; nothing of it is used.
--- a/internal/shared/conf/loopback.go
+++ b/internal/shared/conf/loopback.go
@@ -9,5 +9,5 @@
 		return
 	}
 	r.fault(r.lines[place{section: "listen", key: key}], "listen", key, value,
-		"a loopback address, or a [tls] section with certificate, key and authority")
+		"a loopback address, or a [tls] section with certificate, key and authority, or [network] trusted = yes")
 }
--- a/internal/shared/conf/service.go
+++ b/internal/shared/conf/service.go
@@ -37,6 +37,7 @@
 	latencyBound  time.Duration
 	retryShare    float64
 	maxEjectShare float64
+	numbered      bool
 }
 
 // Rule sets the class of requests that its method and path match.
@@ -70,6 +71,15 @@
 	return Weights{imbalance: imbalance, churn: churn, unavailable: unavailable}
 }
 
+// NewNumbered returns a service that is not set by a file and whose keys are numbers: weights are even, and at most a third
+// of its upstreams may be avoided at once.
+func NewNumbered(name string) *Service {
+	return &Service{name: name, numbered: true, weights: NewWeights(1, 1, 1), maxEjectShare: 1.0 / 3}
+}
+
+// Numbered reports whether the service's keys are numbers that lie side by side in the hash space.
+func (s *Service) Numbered() bool { return s.numbered }
+
 // Name returns the service's name.
 func (s *Service) Name() string { return s.name }
 
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -4,6 +4,7 @@
 	"connectrpc.com/connect"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -22,6 +23,10 @@
 	Drain     = "/ebonyrill.v1.Operators/Drain"
 	Members   = "/ebonyrill.v1.Operators/Members"
 	Burn      = "/ebonyrill.v1.Operators/Burn"
+	Enrol     = "/ebonyrill.v1.Group/Enrol"
+	Patch     = "/ebonyrill.v1.Operators/Patch"
+	Items     = "/ebonyrill.v1.Operators/Items"
+	Leave     = "/ebonyrill.v1.Control/Leave"
 )
 
 // PublishTime is the form of the time that a publish id begins with, so that ids sort by age.
@@ -88,6 +93,32 @@
 	DataCentre string `cbor:"5,keyasint" json:"dataCentre"`
 }
 
+// EnrolAnswer lists the control hosts that the leader knows.
+type EnrolAnswer struct {
+	Addresses []string `cbor:"1,keyasint"`
+}
+
+// PatchRequest sets and removes configuration items; a resend is safe, as each item has a version.
+type PatchRequest struct {
+	Items []items.Item `cbor:"1,keyasint"`
+}
+
+// PatchAnswer tells how many items changed.
+type PatchAnswer struct {
+	Changed int `cbor:"1,keyasint" json:"changed"`
+}
+
+// ItemsAnswer lists the configuration items in force.
+type ItemsAnswer struct {
+	Items []items.Item `cbor:"1,keyasint" json:"items"`
+}
+
+// LeaveRequest tells that one incarnation of an upstream leaves; zero means whichever is known.
+type LeaveRequest struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
 // BootstrapRequest starts a group of the listed control hosts.
 type BootstrapRequest struct {
 	Members []Identity `cbor:"1,keyasint"`
--- a/internal/shared/slice/slice.go
+++ b/internal/shared/slice/slice.go
@@ -44,6 +44,15 @@
 // HashKey maps a key to its place in the hash space.
 func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
 
+// NumberUnit is the width that one numbered key covers in the hash space.
+const NumberUnit = 1 << 48
+
+// HashNumber maps a numbered key to where its run of hashes starts; numbers that follow each other lie side by side.
+func HashNumber(key uint16) uint64 { return uint64(key) * NumberUnit }
+
+// NumberOf returns the numbered key that covers a hash.
+func NumberOf(hash uint64) uint16 { return uint16(hash / NumberUnit) }
+
 // NewSet returns a division into count slices of equal width without owners.
 func NewSet(count int) Set {
 	width := ^uint64(0)/uint64(count) + 1
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -22,6 +22,12 @@
 	Healthy         bool    `cbor:"13,keyasint" json:"healthy"`
 	Load            float64 `cbor:"14,keyasint" json:"load"`
 	Age             Age     `cbor:"15,keyasint,omitempty" json:"-"`
+	// Reports tells that Holds and Released are complete; Held is not read then.
+	Reports  bool      `cbor:"16,keyasint,omitempty" json:"reports,omitempty"`
+	Holds    []Grant   `cbor:"17,keyasint,omitempty" json:"holds,omitempty"`
+	Released []Release `cbor:"18,keyasint,omitempty" json:"released,omitempty"`
+	// WarmIn is how much longer the upstream stays slow after its start.
+	WarmIn time.Duration `cbor:"19,keyasint,omitempty" json:"warmIn,omitempty"`
 }
 
 // Age is how long our own hosts have held an announcement, by their clocks.
@@ -67,6 +73,16 @@
 	From  uint64 `cbor:"1,keyasint" json:"from,string"`
 	To    uint64 `cbor:"2,keyasint" json:"to,string"`
 	Fence uint64 `cbor:"3,keyasint" json:"fence"`
+	// Handover is what the last owner left for this one, empty where there is nothing to take over.
+	Handover string `cbor:"4,keyasint,omitempty" json:"handover,omitempty"`
+}
+
+// Release is a run of hashes, both ends included, that an upstream has let go, with what the next owner needs to take the
+// keys over warm.
+type Release struct {
+	From     uint64 `cbor:"1,keyasint" json:"from,string"`
+	To       uint64 `cbor:"2,keyasint" json:"to,string"`
+	Handover string `cbor:"3,keyasint" json:"handover"`
 }
 
 // GrantAnswer answers an announcement; Grants is absent when the version is the one the upstream holds. AgainMillis is
--- a/internal/shared/table/homes.go
+++ b/internal/shared/table/homes.go
@@ -84,6 +84,11 @@
 	for _, u := range d.Upstreams {
 		v.upstreams[u.Number] = u
 	}
+	v.byService = map[string][]Upstream{}
+	for _, number := range slices.Sorted(maps.Keys(v.upstreams)) {
+		u := v.upstreams[number]
+		v.byService[u.Service] = append(v.byService[u.Service], u)
+	}
 }
 
 // mergeEntries returns the entry hosts in order of name after a delta.
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
 
@@ -25,6 +26,8 @@
 	Leaving         bool   `cbor:"11,keyasint" json:"leaving"`
 	GrantsVersion   uint64 `cbor:"12,keyasint" json:"grantsVersion"`
 	ExcludedHome    string `cbor:"13,keyasint,omitempty" json:"excludedHome,omitempty"`
+	// Reports tells that the upstream reports the keys it holds, so that its word releases them.
+	Reports bool `cbor:"14,keyasint,omitempty" json:"reports,omitempty"`
 }
 
 // EntryHost is one incarnation of a daemon that takes callers' requests.
@@ -67,6 +70,14 @@
 	Digest        uint64         `cbor:"9,keyasint"`
 	GoneUpstreams []uint32       `cbor:"10,keyasint,omitempty"`
 	GoneEntries   []string       `cbor:"11,keyasint,omitempty"`
+	Items         []items.Item   `cbor:"12,keyasint,omitempty"`
+	Control       []ControlHost  `cbor:"13,keyasint,omitempty"`
+}
+
+// ControlHost is where a control host takes calls.
+type ControlHost struct {
+	Address    string `cbor:"1,keyasint" json:"address"`
+	DataCentre string `cbor:"2,keyasint" json:"dataCentre"`
 }
 
 // TableChanges are the changes of one service's slices; Whole lists all slices instead.
--- a/internal/shared/table/view.go
+++ b/internal/shared/table/view.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
 
@@ -20,6 +21,9 @@
 	entries   []EntryHost
 	sets      map[string]slice.Set
 	homes     map[uint32]EntryHost
+	items     *items.Set
+	control   []ControlHost
+	byService map[string][]Upstream
 }
 
 // ErrNotNewer is returned for a delta that would take the view back or does not start at its version.
@@ -44,7 +48,9 @@
 }
 
 // NewView returns an empty view.
-func NewView() *View { return &View{upstreams: map[uint32]Upstream{}, sets: map[string]slice.Set{}} }
+func NewView() *View {
+	return &View{upstreams: map[uint32]Upstream{}, sets: map[string]slice.Set{}, items: items.NewSet()}
+}
 
 // Apply returns the view after the delta; the receiver stays as it is.
 func (v *View) Apply(d Delta) (next *View, err error) {
@@ -53,7 +59,8 @@
 		return nil, &ErrNotNewer{Held: v.version, Offered: d.To}
 	}
 	next = &View{version: d.To, digest: v.digest, config: v.config, services: v.services, upstreams: v.upstreams,
-		entries: v.entries, homes: v.homes}
+		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService}
+	next.applyItems(d)
 	if err = next.applyConfig(d.Config); err != nil {
 		return nil, err
 	}
@@ -67,6 +74,18 @@
 	return next, nil
 }
 
+func (v *View) applyItems(d Delta) {
+	if d.Full {
+		v.items = items.NewSet()
+	}
+	if len(d.Items) > 0 {
+		v.items, _ = v.items.Apply(d.Items)
+	}
+	if len(d.Control) > 0 {
+		v.control = d.Control
+	}
+}
+
 func (v *View) applyConfig(c *Config) (err error) {
 	if c == nil {
 		return nil
@@ -122,6 +141,15 @@
 // Entries returns the entry hosts.
 func (v *View) Entries() []EntryHost { return v.entries }
 
+// Items returns the configuration items in force.
+func (v *View) Items() *items.Set { return v.items }
+
+// Control returns where control hosts take calls, as far as control has told.
+func (v *View) Control() []ControlHost { return v.control }
+
+// UpstreamsOf returns the upstreams of a service in order of number; the list must not be changed.
+func (v *View) UpstreamsOf(service string) []Upstream { return v.byService[service] }
+
 // Upstreams returns the upstreams by number.
 func (v *View) Upstreams() map[uint32]Upstream { return v.upstreams }
 
--- a/internal/shared/wire/leader.go
+++ b/internal/shared/wire/leader.go
@@ -42,8 +42,10 @@
 // watches any host that follows it.
 type Hosts struct {
 	client    *Client
-	addresses []string
 	mutex     sync.Mutex
+	addresses []string
+	near      []string
+	learned   []string
 	last      string
 	until     time.Time
 }
@@ -57,7 +59,25 @@
 func (h *Hosts) Client() *Client { return h.client }
 
 // Addresses returns the peer addresses that were given.
-func (h *Hosts) Addresses() []string { return slices.Clone(h.addresses) }
+func (h *Hosts) Addresses() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return slices.Clone(h.addresses)
+}
+
+// Replace changes the addresses that were given, as settings have changed.
+func (h *Hosts) Replace(addresses []string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.addresses = slices.Clone(addresses)
+}
+
+// Learn notes the control hosts that control itself tells of; near ones are tried first.
+func (h *Hosts) Learn(near, far []string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.near, h.learned = near, far
+}
 
 // Last returns the address that answered last, or an empty text.
 func (h *Hosts) Last() string {
@@ -83,9 +103,14 @@
 	if last := h.Last(); last != "" {
 		list = append(list, last)
 	}
-	for _, i := range rand.Perm(len(h.addresses)) {
-		if !slices.Contains(list, h.addresses[i]) {
-			list = append(list, h.addresses[i])
+	h.mutex.Lock()
+	groups := [][]string{h.near, h.learned, h.addresses}
+	h.mutex.Unlock()
+	for _, group := range groups {
+		for _, i := range rand.Perm(len(group)) {
+			if !slices.Contains(list, group[i]) {
+				list = append(list, group[i])
+			}
 		}
 	}
 	return list
@@ -153,6 +178,16 @@
 	return false
 }
 
+// Remote returns an error of another host as the error that this host would return, so that it can be passed on; only the
+// absence of a leader has a form of its own.
+func Remote(err error) error {
+	var e *connect.Error
+	if errors.As(err, &e) && e.Code() == connect.CodeUnavailable {
+		return &ErrNoLeader{Leader: leaderHint(err)}
+	}
+	return err
+}
+
 func leaderHint(err error) string {
 	var e *connect.Error
 	if errors.As(err, &e) {
