--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -186,6 +186,10 @@
 	if u.Incarnation != a.Incarnation || l == nil || l.condemned {
 		return g
 	}
+	if a.Sequence < l.sequence && a.Reports {
+		g.Status = table.GrantLate
+		return g
+	}
 	if a.Sequence < l.sequence {
 		g.Status, g.Reason = table.GrantRefused, "a later announcement was seen"
 		return g
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return err
 	}
-	parts.Add(func() error {
+	addServer(parts, func() (err error) {
 		if s.secure {
 			err = s.server.ServeTLS(listener, "", "")
 		} else {
@@ -224,10 +224,26 @@
 			return nil
 		}
 		return err
-	}, func(error) { _ = s.server.Close() })
+	}, func() { _ = s.server.Close() })
 	return nil
 }
 
+// addServer adds a server to the parts that stop together. One that was shut down in order stays a part until the others
+// stop: its end must not cut what the stop still waits for.
+func addServer(parts *run.Group, serve func() error, end func()) {
+	quit := make(chan struct{})
+	parts.Add(func() error {
+		err := serve()
+		if err == nil {
+			<-quit
+		}
+		return err
+	}, func(error) {
+		close(quit)
+		end()
+	})
+}
+
 // addSignals stops the daemon in order on SIGTERM and SIGINT; a second signal stops it at once.
 func (d *Daemon) addSignals(parts *run.Group) {
 	signals := make(chan os.Signal, 2)
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	parts.Add(func() error { return d.front.Serve(listener) }, func(error) { d.front.Close() })
+	addServer(parts, func() error { return d.front.Serve(listener) }, d.front.Close)
 	parts.Add(func() error { return d.broker.Run(ctx) }, func(error) { cancel() })
 	return nil
 }
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -64,6 +64,8 @@
 	GrantJoining GrantStatus = "joining"
 	// GrantStale tells that the incarnation has ended; the upstream drops its grants and comes back as a new one.
 	GrantStale GrantStatus = "stale"
+	// GrantLate tells that a later announcement was seen; this one renews nothing.
+	GrantLate GrantStatus = "late"
 	// GrantRefused tells that the announcement was not valid.
 	GrantRefused GrantStatus = "refused"
 )
