--- a/internal/control/grant/keeper.go
+++ b/internal/control/grant/keeper.go
@@ -66,6 +66,7 @@
 	since     time.Duration
 	last      uint64
 	freed     bool
+	finishing time.Duration
 }
 
 // Keeper holds the leases; it lives as long as one leadership does.
@@ -341,6 +342,9 @@
 		if !ok || !e.Moving() || e.Fence != h.fence || !k.released(now, s, h) {
 			continue
 		}
+		if next, _ := s.Upstream(e.Next); next.Reports {
+			continue
+		}
 		operations = append(operations, state.Operation{Kind: state.Finish, Service: name.service, Start: e.Start,
 			Fence: e.Fence, To: e.Next})
 	}
--- a/internal/control/grant/report.go
+++ b/internal/control/grant/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/control/state"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -108,3 +109,27 @@
 	}
 	return append(parts, table.Grant{From: next, To: g.To, Fence: g.Fence})
 }
+
+// finishPause is how long a handover that was proposed is not proposed again; a commit takes less.
+const finishPause = 400 * time.Millisecond
+
+// FinishFor returns the operations that complete handovers to an upstream; pending tells that some are under way.
+func (k *Keeper) FinishFor(now time.Duration, s *state.State, number uint32) (operations []state.Operation, pending bool) {
+	for name, h := range k.handovers {
+		set, ok := s.Table(name.service)
+		if !ok {
+			continue
+		}
+		e, ok := set.StartsAt(name.start)
+		if !ok || e.Next != number || e.Fence != h.fence || !k.released(now, s, h) {
+			continue
+		}
+		pending = true
+		if h.finishing != 0 && now-h.finishing < finishPause {
+			continue
+		}
+		h.finishing = now
+		operations = append(operations, state.Operation{Kind: state.Finish, Service: name.service, Start: e.Start, Fence: e.Fence, To: number})
+	}
+	return operations, pending
+}
--- a/internal/control/group/announce.go
+++ b/internal/control/group/announce.go
@@ -50,7 +50,7 @@
 	case table.GrantJoining:
 		return false
 	case table.GrantHeld:
-		return !a.Leaving || g.Draining
+		return (!a.Leaving || g.Draining) && !g.Pending
 	}
 	return true
 }
@@ -128,6 +128,16 @@
 	return answer, wire.Remote(err)
 }
 
+// finishFor completes the handovers to an upstream that has just announced itself, so that entry hosts and the upstream learn
+// of them at the same time; it reports whether any is under way.
+func (g *Group) finishFor(now time.Duration, u table.Upstream) (pending bool) {
+	operations, pending := g.lead.keeper.FinishFor(now, g.state, u.Number)
+	if len(operations) > 0 {
+		g.proposeDuty(state.Command{Plan: &state.Plan{Operations: operations}})
+	}
+	return pending
+}
+
 // unknownService returns why an upstream that reports its keys cannot be taken in: its service is no configuration item.
 func (g *Group) unknownService(a table.Announcement) string {
 	if !a.Reports {
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -225,7 +225,7 @@
 	}
 	d.changedAt, d.orphans = changed, 0
 	for i := range set.Len() {
-		if set.At(i).Owner == 0 {
+		if e := set.At(i); e.Owner == 0 && !e.Moving() {
 			d.orphans++
 		}
 	}
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -142,6 +142,9 @@
 	}
 	answer := l.keeper.RenewUpstream(now, g.state, a)
 	u, _ := g.state.UpstreamNamed(a.Name)
+	if answer.Status == table.GrantHeld && a.Reports {
+		answer.Pending = g.finishFor(now, u)
+	}
 	switch {
 	case answer.Status == table.GrantJoining && a.Reports && g.outdated(a):
 		answer.Status, answer.Reason = table.GrantStale, "a newer process stands at the address"
--- a/internal/control/place/weighted.go
+++ b/internal/control/place/weighted.go
@@ -208,7 +208,7 @@
 func (p *plan) placeOrphans() {
 	var orphans []int
 	for i := range p.loads {
-		if p.view.set.At(i).Owner == 0 {
+		if e := p.view.set.At(i); e.Owner == 0 && !p.awaited(e) {
 			orphans = append(orphans, i)
 		}
 	}
@@ -217,6 +217,12 @@
 	}
 }
 
+// awaited reports whether a slice without owner is on its way to an upstream that is there to take it.
+func (p *plan) awaited(e slice.Slice) bool {
+	next := p.bearers[e.Next]
+	return e.Moving() && next != nil && next.member.state == Ready
+}
+
 // emptyLeaving hands over all that leaving and gone upstreams have, the hottest first.
 func (p *plan) emptyLeaving() {
 	var leaving []int
--- a/internal/control/state/plan.go
+++ b/internal/control/state/plan.go
@@ -74,9 +74,14 @@
 }
 
 func (s *State) assign(e slice.Slice, to uint32) []slice.Change {
-	if _, ok := s.upstreamPosition(to); !ok || e.Owner != 0 {
+	i, ok := s.upstreamPosition(to)
+	if !ok || e.Owner != 0 || e.Next == to {
 		return nil
 	}
+	if s.upstreams[i].Reports {
+		e.Next = to
+		return []slice.Change{{Slice: e}}
+	}
 	e.Owner, e.Fence = to, s.index
 	s.touchGrants(to)
 	return []slice.Change{{Slice: e}}
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
@@ -20,6 +21,7 @@
 	options Options
 	pool    *conns.Pool
 	stock   *stock
+	office  *deal.Office
 	mutex   sync.Mutex
 	budgets map[string]*budget
 	splits  map[string]*split
@@ -27,9 +29,14 @@
 
 // New returns a broker.
 func New(o Options) *Broker {
-	return &Broker{options: o, pool: conns.NewPool(), stock: newStock(), budgets: map[string]*budget{}, splits: map[string]*split{}}
+	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), budgets: map[string]*budget{}, splits: map[string]*split{}}
+	b.office = b.newOffice()
+	return b
 }
 
+// Office returns the part that deals slots with other entry hosts.
+func (b *Broker) Office() *deal.Office { return b.office }
+
 // Pool returns the connections to upstreams.
 func (b *Broker) Pool() *conns.Pool { return b.pool }
 
@@ -40,6 +47,7 @@
 	for {
 		view := b.options.Table.View()
 		b.stock.note(b.options.Clock(), view)
+		b.office.Follow()
 		changed, cancel := context.WithTimeout(ctx, sweepPeriod)
 		_ = b.options.Table.Await(changed, view.Version())
 		cancel()
@@ -78,6 +86,11 @@
 	header   http.Header
 	tried    []uint32
 	attempts int
+	sends    int
+	slot     *deal.Slot
+	counted  bool
+	stale    *staleOwner
+	fence    uint64
 	mayRan   bool
 	upstream string
 	waited   time.Duration
@@ -106,7 +119,6 @@
 		return bad
 	}
 	j.header = forwarded(r.HTTP.Header, b.options.Dialect)
-	b.budgetOf(j.service).request(b.options.Clock())
 	ctx, cancel := context.WithTimeout(ctx, j.expires-b.options.Clock())
 	defer cancel()
 	return j.run(ctx)
--- a/internal/entry/broker/budget.go
+++ b/internal/entry/broker/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 )
 
 // budgetShare is the part of a service's budget that entry hosts use in all; the rest covers what a host counts differently
@@ -15,7 +17,7 @@
 // budget is one entry host's part of a service's budget for tries beyond the first.
 type budget struct {
 	mutex  sync.Mutex
-	terms  Budget
+	terms  deal.Budget
 	counts [buckets]budgetCount
 	at     int64
 }
@@ -26,7 +28,7 @@
 	repeats  int
 }
 
-func newBudget(terms Budget) *budget { return &budget{terms: terms} }
+func newBudget(terms deal.Budget) *budget { return &budget{terms: terms} }
 
 // request counts a request for the service.
 func (b *budget) request(now time.Duration) {
--- a/internal/entry/broker/log.go
+++ b/internal/entry/broker/log.go
@@ -1,9 +1,12 @@
 package broker
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
 // Refused notes a request that was turned away before it was read whole.
@@ -11,6 +14,13 @@
 	b.options.Log.Write(events.RequestRefused, zap.String("caller", remote), zap.Int("status", status), zap.String("reason", reason))
 }
 
+// logTry writes one line for a try that brought no answer.
+func (b *Broker) logTry(j *job, u table.Upstream, v verdict, took time.Duration) {
+	b.options.Log.Write(events.TryFailed, zap.String("id", j.id), zap.String("service", j.service), zap.String("upstream", u.Name),
+		zap.String("address", u.Address), zap.Stringer("verdict", v), zap.Int("sends", j.sends), zap.Duration("took", took),
+		zap.Duration("left", j.expires-b.options.Clock()), zap.Uint64("fence", j.fence))
+}
+
 // logRecord writes one line for a request: those that were served at a lower level than those that were not.
 func (b *Broker) logRecord(r Record) {
 	event := events.RequestEnded
--- /dev/null
+++ b/internal/entry/broker/place.go
@@ -0,0 +1,217 @@
+package broker
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
+	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
+)
+
+// Times of placing.
+const (
+	parkShare   = 0.6                    // part of the time left for which a key without owner is waited for
+	parkPause   = 60 * time.Millisecond  // pause between looks at a key without owner while nothing is told
+	ownerRetry  = 900 * time.Millisecond // an owner that turned a key away is asked again after this, about a heartbeat
+	leaveMargin = 0.8                    // part of the time that a leaving upstream may be sent requests which is used
+)
+
+// staleOwner is an owner that said it does not hold the key.
+type staleOwner struct {
+	number uint32
+	fence  uint64
+	at     time.Duration
+}
+
+// newOffice returns the part that asks dealers for slots, and deals where it is asked.
+func (b *Broker) newOffice() *deal.Office {
+	return deal.New(deal.Options{Self: deal.Host{Name: b.options.Host, Address: b.options.Address}, Clock: b.options.Clock,
+		Budget: b.options.Budget, Hosts: b.dealers, Upstreams: b.seats,
+		Changed: func(service, dealer string, silent bool) {
+			b.options.Log.Write(events.DealerSilent, zap.String("service", service), zap.String("dealer", dealer), zap.Bool("silent", silent))
+		}})
+}
+
+func (b *Broker) dealers() (list []deal.Host) {
+	for _, e := range b.options.Table.View().Entries() {
+		list = append(list, deal.Host{Name: e.Name, Address: e.Address})
+	}
+	return list
+}
+
+// seats returns the upstreams of a service as a dealer must know them.
+func (b *Broker) seats(service string) (list []deal.Upstream) {
+	now := b.options.Clock()
+	for _, u := range b.options.Table.View().UpstreamsOf(service) {
+		list = append(list, deal.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre, Leaving: u.Leaving,
+			Fresh: b.stock.fresh(now, u)})
+	}
+	return list
+}
+
+// place returns the upstream for the next try, or the refusal where there is none.
+func (j *job) place(ctx context.Context) (u table.Upstream, refusal *serve.Answer) {
+	if j.keyed {
+		return j.placeKeyed(ctx)
+	}
+	b := j.broker
+	for {
+		u, refusal, err := j.askDealer(ctx, 0)
+		if err == nil {
+			return u, refusal
+		}
+		if !j.alone() {
+			return u, j.refuse(ReasonBudgetSpent, turnedPause)
+		}
+		u, ok := b.stock.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
+		if !ok {
+			return u, j.refuse(ReasonNoUpstream, noUpstreamPause)
+		}
+		return u, nil
+	}
+}
+
+// alone counts a try that this host decides on by itself, and reports whether its part of the budget allows it.
+func (j *job) alone() bool {
+	b := j.broker
+	now := b.options.Clock()
+	budget := b.budgetOf(j.service)
+	if j.sends == 0 {
+		budget.request(now)
+		return true
+	}
+	return budget.spend(now, max(len(b.options.Table.View().Entries()), 1))
+}
+
+// askDealer asks the dealer for a slot, of one upstream or of any. An error tells that this host must decide by itself.
+func (j *job) askDealer(ctx context.Context, only uint32) (u table.Upstream, refusal *serve.Answer, err error) {
+	b := j.broker
+	now := b.options.Clock()
+	route := j.match.Route
+	slot, err := b.office.Request(ctx, deal.Ask{Service: j.service, Upstream: only, Priority: route.Priority, Left: j.expires - now,
+		Objective: max(route.Objective-(now-j.arrived), 0), DataCentre: b.options.DataCentre, Avoid: b.avoided(now, j), Repeat: j.sends > 0})
+	j.waited += b.options.Clock() - now
+	var refused *deal.ErrRefused
+	switch {
+	case err == nil:
+		u, ok := b.options.Table.View().Upstream(slot.Upstream)
+		if !ok {
+			slot.Finish(deal.Result{Fate: deal.Abandoned})
+			return u, nil, errors.New("the dealer knows an upstream that this host does not")
+		}
+		j.slot = slot
+		return u, nil, nil
+	case ctx.Err() != nil:
+		return u, j.outOfTime(ctx), nil
+	case errors.As(err, &refused) && refused.Verdict == deal.Refuse:
+		return u, j.refuse(ReasonOverloaded, refused.After), nil
+	case errors.As(err, &refused) && refused.Verdict == deal.Spent:
+		return u, j.refuse(ReasonBudgetSpent, turnedPause), nil
+	}
+	return u, nil, err
+}
+
+// avoided returns the upstreams that must not be used for the request: those tried, and those this host cannot reach.
+func (b *Broker) avoided(now time.Duration, j *job) []uint32 {
+	list := slices.Clone(j.tried)
+	for _, u := range b.options.Table.View().UpstreamsOf(j.service) {
+		if reachable, _ := b.stock.reachable(now, u); !reachable && !slices.Contains(list, u.Number) {
+			list = append(list, u.Number)
+		}
+	}
+	return list
+}
+
+// placeKeyed returns the owner of the request's key once it has a slot. A key on its way to another owner is still asked for
+// at the old one, which turns it away once it has let go; then the request waits for the next owner.
+func (j *job) placeKeyed(ctx context.Context) (u table.Upstream, refusal *serve.Answer) {
+	b := j.broker
+	now := b.options.Clock()
+	until := now + time.Duration(parkShare*float64(j.expires-now))
+	for {
+		view := b.options.Table.View()
+		now = b.options.Clock()
+		o := route.Owner(view, j.service, j.hash)
+		switch {
+		case o.Known && !j.isStale(now, o) && b.stock.mayServe(now, o.Upstream, time.Duration(leaveMargin*float64(b.options.LeaveTime))):
+			u, refusal, again := j.atOwner(ctx, o)
+			if !again {
+				return u, refusal
+			}
+		case now >= until:
+			return u, j.refuse(ReasonNoOwner, noUpstreamPause/2)
+		default:
+			if refusal = j.park(ctx, view, until-now); refusal != nil {
+				return u, refusal
+			}
+		}
+		if ctx.Err() != nil {
+			return u, j.outOfTime(ctx)
+		}
+	}
+}
+
+// isStale reports whether the owner has said that it does not hold the key, and nothing has changed since.
+func (j *job) isStale(now time.Duration, o route.Holder) bool {
+	s := j.stale
+	return s != nil && s.number == o.Upstream.Number && s.fence == o.Fence && (o.Moving || now-s.at < ownerRetry)
+}
+
+// atOwner asks for a slot at the owner; again tells that the owner changed while the request waited.
+func (j *job) atOwner(ctx context.Context, o route.Holder) (u table.Upstream, refusal *serve.Answer, again bool) {
+	b := j.broker
+	now := b.options.Clock()
+	if reachable, pause := b.stock.reachable(now, o.Upstream); !reachable {
+		return u, j.refuse(ReasonNotReached, min(pause, j.expires-now)), false
+	}
+	if !j.counted {
+		j.counted = true
+		b.options.Observer.Arrived(j.service, o.Start, j.hash)
+	}
+	u, refusal, err := j.askDealer(ctx, o.Upstream.Number)
+	if err != nil {
+		if !j.alone() {
+			return u, j.refuse(ReasonBudgetSpent, turnedPause), false
+		}
+		return o.Upstream, nil, false
+	}
+	if refusal != nil {
+		return u, refusal, false
+	}
+	if current := route.Owner(b.options.Table.View(), j.service, j.hash); current.Upstream.Number != u.Number {
+		j.release(deal.Result{Fate: deal.Abandoned})
+		return u, nil, true
+	}
+	j.fence = o.Fence
+	return u, nil, false
+}
+
+// park waits for news of the table.
+func (j *job) park(ctx context.Context, view *table.View, most time.Duration) (refusal *serve.Answer) {
+	b := j.broker
+	began := b.options.Clock()
+	park, cancel := context.WithTimeout(ctx, min(most, parkPause))
+	err := b.options.Table.Await(park, view.Version())
+	cancel()
+	j.waited += b.options.Clock() - began
+	var full *route.ErrParkedFull
+	if errors.As(err, &full) {
+		return j.refuse(ReasonOverloaded, noUpstreamPause/2)
+	}
+	return nil
+}
+
+// release gives the slot back, if a dealer gave one.
+func (j *job) release(r deal.Result) {
+	if j.slot != nil {
+		j.slot.Finish(r)
+		j.slot = nil
+	}
+}
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
-	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -20,8 +19,6 @@
 const (
 	firstTryShare = 0.55                  // part of the time left after which a first try that may be repeated gives way
 	leastTry      = 20 * time.Millisecond // less time left is not worth a try
-	ownerPause    = 60 * time.Millisecond // pause before an owner that turned a key away is asked again without news
-	parkShare     = 0.6                   // part of the time left for which a key without owner is waited for
 )
 
 // run tries until there is a final answer.
@@ -44,60 +41,13 @@
 	}
 }
 
-// place returns the upstream for the next try, or the refusal where there is none.
-func (j *job) place(ctx context.Context) (u table.Upstream, refusal *serve.Answer) {
-	if j.keyed {
-		return j.placeKeyed(ctx)
-	}
-	b := j.broker
-	now := b.options.Clock()
-	u, ok := b.stock.choose(now, b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
-	if !ok {
-		return u, j.refuse(ReasonNoUpstream, noUpstreamPause)
-	}
-	return u, nil
-}
-
-// placeKeyed returns the owner of the request's key. A key on its way to another owner is still asked for at the old one,
-// which turns it away once it has let go; then the request waits for the next owner.
-func (j *job) placeKeyed(ctx context.Context) (u table.Upstream, refusal *serve.Answer) {
-	b := j.broker
-	until := b.options.Clock() + time.Duration(parkShare*float64(j.expires-b.options.Clock()))
-	for {
-		view := b.options.Table.View()
-		now := b.options.Clock()
-		owner, start, ok := route.Owner(view, j.service, j.hash)
-		if ok && !slices.Contains(j.tried, owner.Number) && b.stock.mayServe(now, owner, b.options.LeaveTime) {
-			reachable, again := b.stock.reachable(now, owner)
-			if reachable || j.expires-now < again {
-				b.options.Observer.Arrived(j.service, start, j.hash)
-				return owner, nil
-			}
-			return u, j.refuse(ReasonNotReached, again)
-		}
-		if now >= until {
-			return u, j.refuse(ReasonNoOwner, noUpstreamPause/2)
-		}
-		began := now
-		park, cancel := context.WithTimeout(ctx, min(until-now, ownerPause))
-		err := b.options.Table.Await(park, view.Version())
-		cancel()
-		j.waited += b.options.Clock() - began
-		if _, full := err.(*route.ErrParkedFull); full {
-			return u, j.refuse(ReasonOverloaded, noUpstreamPause/2)
-		}
-		if err != nil && ctx.Err() == nil && len(j.tried) > 0 {
-			j.tried = nil // the owner may have taken the key meanwhile
-		}
-	}
-}
-
 // try sends the request to an upstream once. It returns the final answer, or whether another try may bring one.
 func (j *job) try(ctx context.Context, u table.Upstream) (answer *serve.Answer, again bool) {
 	b := j.broker
 	now := b.options.Clock()
 	left := j.expires - now
 	if left < leastTry {
+		j.release(deal.Result{Fate: deal.Abandoned})
 		return j.outOfTime(ctx), false
 	}
 	tryCtx, cancel := ctx, context.CancelFunc(func() {})
@@ -106,6 +56,7 @@
 	}
 	b.stock.begin(now, u)
 	j.upstream = u.Name
+	j.sends++
 	got, err := b.pool.Do(tryCtx, j.call(u, left))
 	took := b.options.Clock() - now
 	if err != nil {
@@ -131,14 +82,14 @@
 // failed takes in a try without an answer.
 func (j *job) failed(ctx context.Context, u table.Upstream, took time.Duration, err error) (answer *serve.Answer, again bool) {
 	b := j.broker
-	now := b.options.Clock()
 	var notSent *conns.ErrNotSent
 	if errors.As(err, &notSent) {
 		v := verdictNotReached
 		if ctx.Err() != nil {
 			v = verdictAbandoned
 		}
-		b.stock.end(now, u, v, took, nil)
+		j.sends--
+		j.end(u, v, took, nil)
 		j.avoid(u)
 		j.reason = ReasonNotReached
 		return nil, true
@@ -149,13 +100,13 @@
 	j.avoid(u)
 	switch {
 	case ctx.Err() == context.Canceled:
-		b.stock.end(now, u, verdictAbandoned, took, nil)
+		j.end(u, verdictAbandoned, took, nil)
 		return j.outOfTime(ctx), false
 	case errors.Is(err, context.DeadlineExceeded):
-		b.stock.end(now, u, verdictFailed, took, nil)
+		j.end(u, verdictFailed, took, nil)
 		b.pool.Forget(connKey(u))
 	default:
-		b.stock.end(now, u, verdictFailed, took, nil)
+		j.end(u, verdictFailed, took, nil)
 	}
 	return nil, j.idempotent()
 }
@@ -165,7 +116,6 @@
 	b := j.broker
 	d := b.options.Dialect
 	j.attempts++
-	now := b.options.Clock()
 	load := j.reading(got)
 	notRun := got.Header.Get(d.NotRun) != "" || got.Status == http.StatusMisdirectedRequest
 	switch {
@@ -174,19 +124,21 @@
 		v := verdictTurnedAway
 		if got.Status == http.StatusMisdirectedRequest {
 			v = verdictAbandoned
+			j.stale = &staleOwner{number: u.Number, fence: j.fence, at: b.options.Clock()}
+			j.attempts--
 		}
-		b.stock.end(now, u, v, took, load)
+		j.end(u, v, took, load)
 		j.avoid(u)
 		j.reason = ReasonTurnedAway
 		return nil, true
 	case !j.credible(got):
 		j.discard(got, cancel)
-		b.stock.end(now, u, verdictFailed, took, load)
+		j.end(u, verdictFailed, took, load)
 		j.avoid(u)
 		j.mayRan, j.reason = true, ReasonUnanswered
 		return nil, j.idempotent()
 	case got.Status >= http.StatusInternalServerError:
-		b.stock.end(now, u, verdictFailed, took, load)
+		j.end(u, verdictFailed, took, load)
 		if j.idempotent() && got.Rest == nil && j.attempts < j.match.Route.MaxAttempts {
 			defer cancel()
 			j.mayRan, j.last, j.reason = true, got, ReasonUnanswered
@@ -195,7 +147,7 @@
 		}
 		return j.pass(got, cancel), false
 	}
-	b.stock.end(now, u, verdictAnswered, took, load)
+	j.end(u, verdictAnswered, took, load)
 	return j.pass(got, cancel), false
 }
 
@@ -225,25 +177,31 @@
 // avoid keeps an upstream from being tried again for this request.
 func (j *job) avoid(u table.Upstream) { j.tried = append(j.tried, u.Number) }
 
-// mayRepeat reports whether another try is allowed, by the route and by the budget, and counts it. A try that reached no
-// upstream is free.
-func (j *job) mayRepeat() bool {
-	if j.attempts == 0 {
-		return len(j.tried) < maxUnreached
+// end gives the slot back and takes in how the try went.
+func (j *job) end(u table.Upstream, v verdict, took time.Duration, load *reading) {
+	b := j.broker
+	b.stock.end(b.options.Clock(), u, v, took, load)
+	r := deal.Result{Fate: v.fate(), Took: took}
+	if load != nil {
+		r.Running, r.Waiting = load.running, load.waiting
 	}
-	if j.attempts >= j.match.Route.MaxAttempts {
-		return false
+	j.release(r)
+	if v == verdictAnswered || v == verdictFailed {
+		b.options.Observer.Tried(u.Number, v == verdictFailed, took)
 	}
-	b := j.broker
-	if !b.budgetOf(j.service).spend(b.options.Clock(), max(len(b.options.Table.View().Entries()), 1)) {
-		j.reason = ReasonBudgetSpent
-		return false
+	if v != verdictAnswered {
+		b.logTry(j, u, v, took)
 	}
-	return true
 }
 
-// maxUnreached is how many upstreams that cannot be connected to are passed over for one request.
-const maxUnreached = 4
+// mayRepeat reports whether the route allows another try. One that reached no upstream, or whose upstream does not hold the
+// key, does not count; tries of that kind are bounded too.
+func (j *job) mayRepeat() bool {
+	return j.attempts < j.match.Route.MaxAttempts && len(j.tried) < maxTries+j.match.Route.MaxAttempts
+}
+
+// maxTries is how many upstreams that cannot be connected to, or do not hold the key, are passed over for one request.
+const maxTries = 4
 
 // limitsOf returns the limits on callers that are in force.
 func limitsOf(l items.Limits) serve.Limits {
--- a/internal/entry/broker/stock.go
+++ b/internal/entry/broker/stock.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/pick"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -135,6 +136,13 @@
 	return x.doubt / (1 + halvings)
 }
 
+// fresh reports whether an upstream has joined so lately that it may still be slow.
+func (s *stock) fresh(now time.Duration, u table.Upstream) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now-s.of(now, u).seenAt < coldTime
+}
+
 // begin counts a request that is sent to an upstream.
 func (s *stock) begin(now time.Duration, u table.Upstream) {
 	s.mutex.Lock()
@@ -153,6 +161,17 @@
 	verdictAbandoned
 )
 
+// fate returns the verdict as a dealer takes it in.
+func (v verdict) fate() deal.Fate {
+	return [...]deal.Fate{verdictAnswered: deal.Answered, verdictFailed: deal.Failed, verdictTurnedAway: deal.TurnedAway,
+		verdictNotReached: deal.NotReached, verdictAbandoned: deal.Abandoned}[v]
+}
+
+// String returns the verdict as logs name it.
+func (v verdict) String() string {
+	return [...]string{"answered", "failed", "turnedAway", "notReached", "abandoned"}[v]
+}
+
 // end takes in how a try went: took is how long the upstream needed, load what it told of itself.
 func (s *stock) end(now time.Duration, u table.Upstream, v verdict, took time.Duration, load *reading) {
 	s.mutex.Lock()
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
@@ -28,17 +29,12 @@
 	Key string
 }
 
-// Budget bounds tries beyond the first, over all entry hosts: Share of a service's requests and Base more in each Window.
-type Budget struct {
-	Share  float64
-	Base   float64
-	Window time.Duration
-}
-
 // Observer hears of what requests meet.
 type Observer interface {
 	// Arrived counts a request for a numbered key of a service.
 	Arrived(service string, start, hash uint64)
+	// Tried counts a try at an upstream, with how long the upstream took for an answer.
+	Tried(upstream uint32, failed bool, took time.Duration)
 	// Settled counts a request's final answer.
 	Settled(r Record)
 }
@@ -49,7 +45,9 @@
 	DataCentre string
 	Dialect    Dialect
 	Table      *route.Table
-	Budget     Budget
+	Budget     deal.Budget
+	// Address is where other entry hosts reach this one.
+	Address string
 	// LeaveTime is how long an upstream may be sent requests after it said that it leaves.
 	LeaveTime time.Duration
 	Observer  Observer
--- /dev/null
+++ b/internal/entry/deal/office.go
@@ -0,0 +1,314 @@
+package deal
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/clock"
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// Times of messages between entry hosts.
+const (
+	firstResend  = 25 * time.Millisecond  // a message lost between data centres is sent again after this
+	dealerPeriod = 150 * time.Millisecond // a dealer that says nothing for so long is passed over
+	askPeriod    = 200 * time.Millisecond // a request that waits asks again this often, in case the dealer has gone
+	silentTime   = 1500 * time.Millisecond
+	tickPeriod   = 15 * time.Millisecond
+	resultDelay  = 3 * time.Millisecond // results wait so long for others to the same host
+	resultResend = 80 * time.Millisecond
+	resultTries  = 4
+	maxPacket    = 8 << 10 // bytes
+	dealersTried = 2
+)
+
+// packet is one datagram between entry hosts.
+type packet struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Asks    []Ask
+	Replies []Reply
+	Results []Result
+	Acks    []uint64
+}
+
+// ErrNoDealer is returned when no dealer answers; the caller decides alone.
+type ErrNoDealer struct{}
+
+// Error returns the message.
+func (e *ErrNoDealer) Error() string { return "no dealer answers" }
+
+// Host is an entry host that may deal.
+type Host struct {
+	Name    string
+	Address string
+}
+
+// Options describe an entry host's office. Hosts and Upstreams return what the table says now. Changed hears when a dealer is
+// passed over.
+type Options struct {
+	Self      Host
+	Hosts     func() []Host
+	Upstreams func(service string) []Upstream
+	Budget    Budget
+	Clock     clock.Clock
+	Changed   func(service, dealer string, silent bool)
+}
+
+// pending is an ask of this host that waits for replies.
+type pending struct {
+	replies chan Reply
+}
+
+// unacked is a result that its dealer has not confirmed.
+type unacked struct {
+	to      string
+	service string
+	result  Result
+	at      time.Duration
+	tries   int
+}
+
+// Office asks dealers for slots and deals itself where it is asked.
+type Office struct {
+	options Options
+	conn    *net.UDPConn
+	mutex   sync.Mutex
+	desks   map[string]*Desk
+	pending map[uint64]*pending
+	unacked map[uint64]*unacked
+	silent  map[string]time.Duration
+	late    map[outKey]*packet
+	nextID  uint64
+	lateAt  bool
+}
+
+// outKey names where results wait to be sent.
+type outKey struct {
+	to      string
+	service string
+}
+
+// New returns an office that is not connected yet.
+func New(o Options) *Office {
+	return &Office{options: o, desks: map[string]*Desk{}, pending: map[uint64]*pending{}, unacked: map[uint64]*unacked{},
+		silent: map[string]time.Duration{}, late: map[outKey]*packet{}, nextID: rand.Uint64() >> 16}
+}
+
+// Listen opens the host's address for datagrams.
+func (o *Office) Listen() (err error) {
+	defer func() { err = errors.WithMessage(err, "listen for entry hosts") }()
+	address, err := net.ResolveUDPAddr("udp", o.options.Self.Address)
+	if err != nil {
+		return err
+	}
+	o.conn, err = net.ListenUDP("udp", address)
+	return err
+}
+
+// Run serves until the context ends.
+func (o *Office) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = o.conn.Close() })
+	defer stop()
+	go o.tick(ctx)
+	buffer := make([]byte, 64<<10)
+	for {
+		n, from, err := o.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue // a refused datagram of before is told here; the next read goes on
+		}
+		var p packet
+		if wire.Unmarshal(buffer[:n], &p) != nil {
+			continue // not one of ours
+		}
+		o.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), &p)
+	}
+}
+
+// take handles one datagram.
+func (o *Office) take(from string, p *packet) {
+	now := o.options.Clock()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, id := range p.Acks {
+		delete(o.unacked, id)
+	}
+	for _, r := range p.Replies {
+		if w := o.pending[r.ID]; w != nil {
+			select {
+			case w.replies <- r:
+			default:
+			}
+		}
+	}
+	if len(p.Asks)+len(p.Results) == 0 {
+		return
+	}
+	var replies []addressed
+	desk := o.desk(now, p.Service)
+	for _, r := range p.Results {
+		replies = append(replies, desk.Finish(now, from, r)...)
+		o.later(from, p.Service, func(q *packet) { q.Acks = append(q.Acks, r.ID) })
+	}
+	for _, a := range p.Asks {
+		replies = append(replies, desk.Offer(now, from, a)...)
+	}
+	o.deliver(p.Service, replies)
+}
+
+// desk returns the desk of a service with its upstreams as the table has them; the mutex must be held.
+func (o *Office) desk(now time.Duration, service string) *Desk {
+	d := o.desks[service]
+	if d == nil {
+		d = NewDesk(o.options.Budget)
+		d.Follow(now, o.options.Upstreams(service))
+		o.desks[service] = d
+	}
+	return d
+}
+
+// deliver brings replies to their askers, here or elsewhere; the mutex must be held.
+func (o *Office) deliver(service string, replies []addressed) {
+	byHost := map[string][]Reply{}
+	for _, a := range replies {
+		if a.key.Host == o.options.Self.Address {
+			if w := o.pending[a.reply.ID]; w != nil {
+				select {
+				case w.replies <- a.reply:
+				default:
+				}
+			}
+			continue
+		}
+		byHost[a.key.Host] = append(byHost[a.key.Host], a.reply)
+	}
+	for host, list := range byHost {
+		o.send(host, service, func(p *packet) { p.Replies = list })
+	}
+}
+
+// send sends a datagram at once, with what waits for the same host; the mutex must be held.
+func (o *Office) send(to, service string, add func(*packet)) {
+	key := outKey{to: to, service: service}
+	p := o.late[key]
+	if p == nil {
+		p = &packet{Service: service}
+	}
+	delete(o.late, key)
+	add(p)
+	o.write(to, p)
+}
+
+func (o *Office) write(to string, p *packet) {
+	data, err := wire.Marshal(p)
+	if err != nil || len(data) > maxPacket {
+		return
+	}
+	address, err := netip.ParseAddrPort(to)
+	if err != nil || o.conn == nil {
+		return
+	}
+	_, _ = o.conn.WriteToUDPAddrPort(data, address) // a lost datagram is sent again by its sender
+}
+
+// later adds to what is sent to a host a little later, so that several go together; the mutex must be held.
+func (o *Office) later(to, service string, add func(*packet)) {
+	key := outKey{to: to, service: service}
+	p := o.late[key]
+	if p == nil {
+		p = &packet{Service: service}
+		o.late[key] = p
+	}
+	add(p)
+	if !o.lateAt {
+		o.lateAt = true
+		time.AfterFunc(resultDelay, o.flush)
+	}
+}
+
+func (o *Office) flush() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.lateAt = false
+	for key, p := range o.late {
+		delete(o.late, key)
+		o.write(key.to, p)
+	}
+}
+
+// tick runs the desks' clocks and sends unconfirmed results again.
+func (o *Office) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.tickOnce()
+		}
+	}
+}
+
+func (o *Office) tickOnce() {
+	now := o.options.Clock()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for service, d := range o.desks {
+		if busy, waiting := d.Load(); busy+waiting > 0 {
+			o.deliver(service, d.Tick(now))
+		}
+	}
+	for id, u := range o.unacked {
+		if now-u.at < resultResend {
+			continue
+		}
+		if u.tries++; u.tries >= resultTries {
+			delete(o.unacked, id)
+			continue
+		}
+		u.at = now
+		o.later(u.to, u.service, func(p *packet) { p.Results = append(p.Results, u.result) })
+	}
+}
+
+// Follow brings all desks in line with the table.
+func (o *Office) Follow() {
+	now := o.options.Clock()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for service, d := range o.desks {
+		o.deliver(service, d.Follow(now, o.options.Upstreams(service)))
+	}
+}
+
+// dealers returns the hosts to ask for a service's slots, the first choice first; hosts that said nothing lately come last.
+func (o *Office) dealers(now time.Duration, service string) (list []Host) {
+	list = slices.Clone(o.options.Hosts())
+	name := slice.HashKey(service)
+	score := func(h Host) uint64 { return slice.Mix(slice.HashKey(h.Name) ^ name) }
+	slices.SortFunc(list, func(a, b Host) int {
+		if x, y := now < o.silent[a.Address], now < o.silent[b.Address]; x != y {
+			if x {
+				return 1
+			}
+			return -1
+		}
+		if score(a) > score(b) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/internal/entry/deal/types.go
@@ -0,0 +1,93 @@
+package deal
+
+import (
+	"time"
+)
+
+// Key names a request among those of all entry hosts.
+type Key struct {
+	Host string
+	ID   uint64
+}
+
+// Ask is a request's wish for a slot. Upstream names the only one that may run it, zero any of the service.
+type Ask struct {
+	_          struct{} `cbor:",toarray"`
+	ID         uint64
+	Service    string
+	Upstream   uint32
+	Priority   int
+	Left       time.Duration
+	Objective  time.Duration
+	DataCentre string
+	Avoid      []uint32
+	Repeat     bool
+}
+
+// Verdict tells what becomes of an ask.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Go means that the request has a slot at the upstream that the reply names.
+	Go Verdict = iota + 1
+	// Wait means that the request is queued.
+	Wait
+	// Refuse means that no slot will be free in time; After is when one should be.
+	Refuse
+	// Spent means that the service's budget for repeats is used up.
+	Spent
+	// Nowhere means that the dealer knows no upstream that may run the request.
+	Nowhere
+)
+
+// Reply answers an ask.
+type Reply struct {
+	_        struct{} `cbor:",toarray"`
+	ID       uint64
+	Verdict  Verdict
+	Upstream uint32
+	After    time.Duration
+}
+
+// Fate is how a request fared that had a slot.
+type Fate uint8
+
+// Fates.
+const (
+	// Answered means that the upstream ran the request.
+	Answered Fate = iota + 1
+	// Failed means that the upstream failed it, or did not answer in time.
+	Failed
+	// TurnedAway means that the upstream said that it did not run it.
+	TurnedAway
+	// NotReached means that no connection was made.
+	NotReached
+	// Abandoned means that the caller went, or that the upstream is not to blame.
+	Abandoned
+)
+
+// Result tells how a request fared; it frees the slot.
+type Result struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Fate    Fate
+	Took    time.Duration
+	Running int
+	Waiting int
+}
+
+// addressed is a reply with the request that it is for.
+type addressed struct {
+	key   Key
+	reply Reply
+}
+
+// Upstream is what a dealer must know of an upstream.
+type Upstream struct {
+	Number     uint32
+	Slots      int
+	DataCentre string
+	Leaving    bool
+	Fresh      bool
+}
--- a/internal/entry/route/route.go
+++ b/internal/entry/route/route.go
@@ -100,16 +100,25 @@
 	return target
 }
 
-// Owner returns the upstream that holds the hash by the view, and where its slice starts. One that hands the slice over still
-// counts, as it serves until it has let go.
-func Owner(v *table.View, service string, hash uint64) (u table.Upstream, start uint64, ok bool) {
+// Holder is the upstream that holds a hash; one that hands the slice over still counts, as it serves until it has let go.
+type Holder struct {
+	Upstream table.Upstream
+	Start    uint64
+	Fence    uint64
+	Moving   bool
+	Known    bool
+}
+
+// Owner returns the upstream that holds the hash by the view.
+func Owner(v *table.View, service string, hash uint64) (h Holder) {
 	set, ok := v.Set(service)
 	if !ok {
-		return u, 0, false
+		return h
 	}
 	s := set.Find(hash)
-	u, ok = v.Upstream(s.Owner)
-	return u, s.Start, ok
+	h.Start, h.Fence, h.Moving = s.Start, s.Fence, s.Moving()
+	h.Upstream, h.Known = v.Upstream(s.Owner)
+	return h
 }
 
 // Find returns where a request for the hash goes now.
--- a/internal/entry/tally/tally.go
+++ b/internal/entry/tally/tally.go
@@ -103,6 +103,17 @@
 	return burn.Good
 }
 
+// Tried counts a try at an upstream with how long it took.
+func (t *Tally) Tried(upstream uint32, failed bool, took time.Duration) {
+	t.Seen(upstream, failed)
+	if failed {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.sights[upstream].Took += took
+}
+
 // Settled counts the final answer to a request that was routed by items.
 func (t *Tally) Settled(r broker.Record) {
 	t.requests.WithLabelValues(r.Service, string(r.Outcome), string(r.Reason)).Inc()
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -9,6 +9,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/control/group"
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
+	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
@@ -34,8 +35,8 @@
 // openBroker makes the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Dialect: d.platform.Dialect(),
-		Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.tally, Log: d.log, Clock: clock.Boot,
-		Budget: broker.Budget{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
+		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.tally, Log: d.log, Clock: clock.Boot,
+		Budget: deal.Budget{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
 	d.front = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, Refused: d.broker.Refused})
 }
 
@@ -47,6 +48,10 @@
 	}
 	addServer(parts, func() error { return d.front.Serve(listener) }, d.front.Close)
 	parts.Add(func() error { return d.broker.Run(ctx) }, func(error) { cancel() })
+	if err = d.broker.Office().Listen(); err != nil {
+		return err
+	}
+	parts.Add(func() error { return d.broker.Office().Run(ctx) }, func(error) { cancel() })
 	return nil
 }
 
--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -87,6 +87,7 @@
 	RequestFailed    = event(3204, zap.WarnLevel, LayerEntry, "request not served")
 	RequestRefused   = event(3205, zap.InfoLevel, LayerEntry, "request turned away before it was read")
 	TryFailed        = event(3206, zap.InfoLevel, LayerEntry, "try at an upstream failed")
+	DealerSilent     = event(3207, zap.InfoLevel, LayerEntry, "dealer of a service passed over")
 	RequestTruncated = event(3201, zap.WarnLevel, LayerEntry, "upstream's answer was cut short, caller's connection broken")
 	PathCondemned    = event(3202, zap.InfoLevel, LayerEntry, "connection went silent, idle ones to the same upstream closed")
 )
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -101,6 +101,8 @@
 	Grants      []Grant     `cbor:"9,keyasint" json:"grants,omitempty"`
 	Draining    bool        `cbor:"10,keyasint" json:"draining"`
 	AgainMillis int64       `cbor:"11,keyasint" json:"againMillis"`
+	// Pending tells that more is being granted; a moment later the answer holds it.
+	Pending bool `cbor:"12,keyasint,omitempty" json:"-"`
 }
 
 // ErrBadAnswer is returned for an answer to an announcement that must not be taken in; nothing may be changed by it.
@@ -150,6 +152,8 @@
 	Number   uint32 `cbor:"1,keyasint"`
 	Answered int    `cbor:"2,keyasint"`
 	Failed   int    `cbor:"3,keyasint"`
+	// Took is the time that the answered requests took in all.
+	Took time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Renewal is what an entry host sends to the control leader: its own lease, the announcements it took in, and load.
