--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -52,7 +52,7 @@
 	}
 	tryCtx, cancel := ctx, context.CancelFunc(func() {})
 	if j.idempotent() && !j.keyed && j.attempts == 0 && j.match.Route.MaxAttempts > 1 {
-		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(firstTryShare*float64(left)))
+		tryCtx, cancel = context.WithTimeout(ctx, max(time.Duration(firstTryShare*float64(left)), j.match.Route.Objective))
 	}
 	b.stock.begin(now, u)
 	j.upstream = u.Name
--- a/internal/entry/deal/desk.go
+++ b/internal/entry/deal/desk.go
@@ -12,7 +12,7 @@
 	slowestPace    = 6.0                    // an upstream is not counted as slower than so many times the average
 	doubtWeight    = 0.12                   // weight of the newest answer in an upstream's doubt
 	doubtLife      = 4 * time.Second        // doubt without news halves in this time
-	farCost        = 0.06                   // cost of another data centre, in average times
+	farCost        = 0.35                   // cost of another data centre, in average times: the way and its bytes
 	freshCost      = 0.7                    // cost of an upstream that has just started
 	firstTook      = 200 * time.Millisecond // average time of a service before the first answer
 	expiryGrace    = 300 * time.Millisecond // a slot whose result never came is free so long after its request's time
--- a/internal/entry/deal/place.go
+++ b/internal/entry/deal/place.go
@@ -33,9 +33,11 @@
 		return nil
 	}
 	d.sortWaiting(now)
+	ahead := 0
 	for _, c := range slices.Clone(d.waiting) {
-		s := d.choose(now, c)
+		s := d.choose(now, c, ahead)
 		if s == nil {
+			ahead++
 			continue
 		}
 		d.waiting = slices.DeleteFunc(d.waiting, func(o *claim) bool { return o == c })
@@ -62,11 +64,9 @@
 }
 
 // choose returns the upstream for a request, or none where it should wait: because no slot is free, or because a better one
-// will be free soon enough.
-func (d *Desk) choose(now time.Duration, c *claim) (best *seat) {
-	lowest := math.Inf(1)
-	soonest := math.Inf(1)
-	slots := 0
+// will be free soon enough, after those who wait already.
+func (d *Desk) choose(now time.Duration, c *claim, ahead int) (best *seat) {
+	lowest, soonest := math.Inf(1), math.Inf(1)
 	for _, number := range d.order {
 		s := d.seats[number]
 		if !mayRun(c, s) || c.ask.Upstream == 0 && s.cutOff(now) {
@@ -79,21 +79,40 @@
 			}
 			continue
 		}
-		slots += s.up.Slots
 		soonest = min(soonest, cost)
 	}
 	if best == nil || c.ask.Upstream != 0 {
 		return best
 	}
-	if slots > 0 && soonest+1/float64(slots)+patience < lowest && now+time.Duration(2*float64(d.took)) < c.expires {
+	if soonest+patience < lowest && d.worthWaiting(now, c, lowest, ahead) {
 		return nil
 	}
 	return best
 }
 
-// patience is by how many average times a busy upstream must be better than a free one to be waited for.
+// patience is by how many average times a busy upstream must be better than a free one to be thought of.
 const patience = 0.5
 
+// worthWaiting reports whether a request is served sooner by waiting for a busy upstream than by a free one of a cost, given
+// how many wait already. Busy slots end evenly over the time that a request takes.
+func (d *Desk) worthWaiting(now time.Duration, c *claim, cost float64, ahead int) bool {
+	slots, sum := 0, 0.0
+	for _, s := range d.seats {
+		own := s.cost(now, c)
+		if mayRun(c, s) && s.busy >= s.limit() && own+patience < cost {
+			slots += s.limit()
+			sum += own * float64(s.limit())
+		}
+	}
+	if slots == 0 {
+		return false
+	}
+	better := sum / float64(slots)
+	wait := better * float64(ahead+1) / float64(slots)
+	expected := time.Duration((wait + better) * float64(d.took))
+	return wait+better+patience/2 < cost && now+expected < c.arrived+c.ask.Objective
+}
+
 // limit is how many requests an upstream is given at a time.
 func (s *seat) limit() int { return max(s.up.Slots, 1) }
 
