--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -11,6 +11,7 @@
 	"ebonyrill.dev/ebonyrill/internal/control/place"
 	"ebonyrill.dev/ebonyrill/internal/control/state"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -44,6 +45,7 @@
 	excludedAt map[uint32]time.Duration
 	applicants map[agree.ReplicaID]applicant
 	membersAt  time.Duration
+	paces      paces
 }
 
 // serviceDuty is what the leader keeps for one service.
@@ -56,12 +58,16 @@
 	shapedAt   uint64
 	orphans    int
 	readyAt    time.Duration
+	joinedAt   time.Duration
 	neverOwned bool
+	numbered   bool
+	members    int
 }
 
 // upstreamNote is what the leader remembers of an upstream.
 type upstreamNote struct {
 	name     string
+	service  string
 	joinedAt time.Duration
 }
 
@@ -81,9 +87,9 @@
 	l := &lead{term: term, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
 		upstreams: map[uint32]*upstreamNote{}, lost: map[string]lostEntry{},
 		joining: map[string]uint64{}, health: place.NewHealth(), avoided: map[uint32]bool{},
-		excludedAt: map[uint32]time.Duration{}, applicants: map[agree.ReplicaID]applicant{}}
+		excludedAt: map[uint32]time.Duration{}, applicants: map[agree.ReplicaID]applicant{}, paces: newPaces()}
 	for _, u := range s.Upstreams() {
-		l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: settledAge}
+		l.upstreams[u.Number] = &upstreamNote{name: u.Name, service: u.Service, joinedAt: settledAge}
 	}
 	l.follow(now, s)
 	return l
@@ -171,7 +177,7 @@
 func (l *lead) followUpstreams(now time.Duration, s *state.State) {
 	for _, u := range s.Upstreams() {
 		if l.upstreams[u.Number] == nil {
-			l.upstreams[u.Number] = &upstreamNote{name: u.Name, joinedAt: now}
+			l.upstreams[u.Number] = &upstreamNote{name: u.Name, service: u.Service, joinedAt: now}
 		}
 	}
 	for number, n := range l.upstreams {
@@ -205,13 +211,23 @@
 	for _, v := range s.Services() {
 		d := l.services[v.Name()]
 		if d == nil {
-			d = &serviceDuty{policy: place.NewWeighted(), loads: place.NewLoads()}
+			d = newServiceDuty(v)
 			l.services[v.Name()] = d
 		}
 		d.follow(now, s, v.Name())
 	}
 }
 
+// handoverLoadLife is in which time the load of numbered keys halves without news: the busiest change within seconds.
+const handoverLoadLife = 2500 * time.Millisecond
+
+func newServiceDuty(v *conf.Service) *serviceDuty {
+	if v.Numbered() {
+		return &serviceDuty{policy: place.NewTuned(place.HandoverTuning()), loads: place.NewLoadsOver(handoverLoadLife), numbered: true}
+	}
+	return &serviceDuty{policy: place.NewWeighted(), loads: place.NewLoads()}
+}
+
 // follow brings what the leader keeps for a service in line with its slices, as far as these changed.
 func (d *serviceDuty) follow(now time.Duration, s *state.State, service string) {
 	changed, shaped := s.Changed(service)
@@ -270,12 +286,30 @@
 		d.readyAt = now
 		return false
 	}
-	if d.neverOwned && now-d.readyAt < gatherPeriod {
+	if d.neverOwned && d.gathering(now, len(members)) {
 		return false
 	}
 	return d.orphans > 0 || now >= d.planAt || leavingOwn(members, set)
 }
 
+// gathering reports whether more upstreams of a service that never had an owner are likely to come soon. Those that report
+// their keys are waited for until none has come for more than a heartbeat.
+func (d *serviceDuty) gathering(now time.Duration, members int) bool {
+	if !d.numbered {
+		return now-d.readyAt < gatherPeriod
+	}
+	if members != d.members {
+		d.members, d.joinedAt = members, now
+	}
+	return now-d.joinedAt < quietPeriod && now-d.readyAt < longestGather
+}
+
+// Times of gathering upstreams that report their keys.
+const (
+	quietPeriod   = 1200 * time.Millisecond // a heartbeat comes at least once in this time
+	longestGather = 4 * time.Second         // keys are not left unserved for longer, however many come
+)
+
 // leavingOwn reports whether an upstream that is to be emptied owns a slice that is not on its way to another.
 func leavingOwn(members []place.Member, set slice.Set) bool {
 	leaving := map[uint32]bool{}
@@ -305,12 +339,12 @@
 			continue
 		}
 		m := l.memberState(now, s, u)
-		if m == place.Ready && float64(avoided+1) <= ejectShare*float64(total) && l.avoid(now, u) {
+		if m == place.Ready && !u.Reports && float64(avoided+1) <= ejectShare*float64(total) && l.avoid(now, u) {
 			m = place.Leaving
 			avoided++
 		}
 		note := l.upstreams[u.Number]
-		members = append(members, place.NewMember(u.Number, float64(u.Slots), m, note.joinedAt, l.flaps(u.Name)))
+		members = append(members, place.NewMember(u.Number, float64(u.Slots)/l.pace(u), m, note.joinedAt, l.flaps(u.Name)))
 	}
 	return members
 }
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -207,6 +207,7 @@
 	}
 	for _, v := range r.Sights {
 		l.health.Add(now, r.Host.Name, v)
+		l.paces.add(v)
 	}
 }
 
--- a/internal/control/place/balance.go
+++ b/internal/control/place/balance.go
@@ -12,7 +12,8 @@
 func (p *plan) excess() float64 {
 	w := p.view.weights
 	ratio := (w.Churn() + 0.01) / (w.Imbalance() + 0.01)
-	return min(maxExcess, max(startExcess, startExcess*ratio/2))
+	start := p.policy.tuning.StartExcess
+	return min(max(maxExcess, start), max(start, start*ratio/2))
 }
 
 // rebalance moves slices off the heaviest upstreams until none is far above its share or the budget is spent. Once it
@@ -20,7 +21,7 @@
 func (p *plan) rebalance() {
 	limit := 1 + p.excess()
 	if p.policy.active {
-		limit = 1 + stopExcess
+		limit = 1 + p.policy.tuning.StopExcess
 	}
 	stuck := map[*bearer]bool{}
 	splits := 0
@@ -29,7 +30,7 @@
 		if from == nil || from.relative() <= limit {
 			break
 		}
-		limit = 1 + stopExcess
+		limit = 1 + p.policy.tuning.StopExcess
 		if p.moveOne(from) {
 			continue
 		}
@@ -39,7 +40,7 @@
 		}
 	}
 	heaviest := p.heaviest(nil)
-	p.policy.active = heaviest != nil && heaviest.relative() > 1+stopExcess && limit == 1+stopExcess
+	p.policy.active = heaviest != nil && heaviest.relative() > 1+p.policy.tuning.StopExcess && limit == 1+p.policy.tuning.StopExcess
 }
 
 func (p *plan) heaviest(except map[*bearer]bool) (found *bearer) {
@@ -103,7 +104,7 @@
 		}
 	}
 	crowded := p.view.set.Len() > 4*slicesPerMember*len(p.ready)
-	if best < 0 || crowded || p.loads[best] < splitShare*from.target {
+	if best < 0 || crowded || p.loads[best] < p.policy.tuning.SplitShare*from.target {
 		return false
 	}
 	e := p.view.set.At(best)
--- a/internal/control/place/loads.go
+++ b/internal/control/place/loads.go
@@ -21,15 +21,16 @@
 type estimate struct {
 	rate float64
 	at   time.Duration
+	life time.Duration
 }
 
 // decayed returns the rate as it stands now; counts spread over the half-life make it requests per second.
 func (e estimate) decayed(now time.Duration) float64 {
-	return e.rate * math.Exp2(-float64(now-e.at)/float64(loadHalfLife))
+	return e.rate * math.Exp2(-float64(now-e.at)/float64(e.life))
 }
 
 func (e *estimate) add(now time.Duration, count float64) {
-	e.rate = e.decayed(now) + count*math.Ln2/loadHalfLife.Seconds()
+	e.rate = e.decayed(now) + count*math.Ln2/e.life.Seconds()
 	e.at = now
 }
 
@@ -37,23 +38,29 @@
 type Loads struct {
 	slices map[uint64]*estimate
 	keys   map[uint64]*estimate
+	life   time.Duration
 }
 
-// NewLoads returns empty estimates.
-func NewLoads() *Loads { return &Loads{slices: map[uint64]*estimate{}, keys: map[uint64]*estimate{}} }
+// NewLoads returns empty estimates that halve in loadHalfLife.
+func NewLoads() *Loads { return NewLoadsOver(loadHalfLife) }
+
+// NewLoadsOver returns empty estimates that halve in the given time.
+func NewLoadsOver(life time.Duration) *Loads {
+	return &Loads{slices: map[uint64]*estimate{}, keys: map[uint64]*estimate{}, life: life}
+}
 
 // AddSlice counts requests to the slice that starts at the hash.
 func (l *Loads) AddSlice(now time.Duration, c table.SliceCount) {
-	bump(l.slices, now, c.Start, c.Count)
+	l.bump(l.slices, now, c.Start, c.Count)
 }
 
 // AddKey counts requests to a hot key.
-func (l *Loads) AddKey(now time.Duration, c table.KeyCount) { bump(l.keys, now, c.Hash, c.Count) }
+func (l *Loads) AddKey(now time.Duration, c table.KeyCount) { l.bump(l.keys, now, c.Hash, c.Count) }
 
-func bump(m map[uint64]*estimate, now time.Duration, at uint64, count float64) {
+func (l *Loads) bump(m map[uint64]*estimate, now time.Duration, at uint64, count float64) {
 	e := m[at]
 	if e == nil {
-		e = &estimate{}
+		e = &estimate{life: l.life}
 		m[at] = e
 	}
 	e.add(now, count)
@@ -63,7 +70,7 @@
 func (l *Loads) Follow(now time.Duration, set slice.Set) {
 	for start, e := range l.slices {
 		if s := set.Find(start); s.Start != start {
-			bump(l.slices, now, s.Start, 0)
+			l.bump(l.slices, now, s.Start, 0)
 			l.slices[s.Start].rate += e.decayed(now)
 			delete(l.slices, start)
 		}
@@ -78,7 +85,7 @@
 
 // divide starts the estimate of a slice that was cut off the one before it: by its hot keys, or by half.
 func (l *Loads) divide(now time.Duration, set slice.Set, i int) {
-	e := &estimate{at: now}
+	e := &estimate{at: now, life: l.life}
 	l.slices[set.At(i).Start] = e
 	if i == 0 {
 		return
--- a/internal/control/place/weighted.go
+++ b/internal/control/place/weighted.go
@@ -40,14 +40,43 @@
 	budget   float64
 	budgetAt time.Duration
 	active   bool
+	tuning   Tuning
+}
+
+// Tuning is how readily a policy acts.
+type Tuning struct {
+	// ChurnPerMinute is the share of the key space that may be moved for balance in a minute.
+	ChurnPerMinute float64
+	// Hold is how long a slice that was moved for balance stays where it is.
+	Hold time.Duration
+	// Ramp is how long a new upstream is trusted with less than its capacity.
+	Ramp time.Duration
+	// SplitShare is the part of an upstream's share above which a slice is cut.
+	SplitShare float64
+	// StartExcess and StopExcess are how far above its share an upstream may be before moves start, and when they stop.
+	StartExcess, StopExcess float64
+}
+
+// DefaultTuning returns the tuning for upstreams whose keys are costly to move.
+func DefaultTuning() Tuning {
+	return Tuning{ChurnPerMinute: churnPerMinute, Hold: HoldTime, Ramp: rampTime, SplitShare: splitShare, StartExcess: startExcess, StopExcess: stopExcess}
+}
+
+// HandoverTuning returns the tuning for upstreams that hand the state of keys over, so that a move costs about a heartbeat of
+// service for the keys that move; the busiest keys change within seconds there.
+func HandoverTuning() Tuning {
+	return Tuning{ChurnPerMinute: 4, Hold: 3 * time.Second, Ramp: 4 * time.Second, SplitShare: 0.3, StartExcess: 0.15, StopExcess: 0.08}
 }
 
 // NewWeighted returns the policy for one service.
-func NewWeighted() *Weighted {
-	return &Weighted{moved: map[uint64]time.Duration{}, split: map[uint64]time.Duration{}, budget: churnPerMinute}
+func NewWeighted() *Weighted { return NewTuned(DefaultTuning()) }
+
+// NewTuned returns the policy for one service with its tuning.
+func NewTuned(t Tuning) *Weighted {
+	return &Weighted{moved: map[uint64]time.Duration{}, split: map[uint64]time.Duration{}, budget: t.ChurnPerMinute, tuning: t}
 }
 
-// HoldTime is how long a slice that was moved for balance stays where it is.
+// HoldTime is how long a slice that was moved for balance stays where it is, where its keys are costly to move.
 const HoldTime = 20 * time.Second
 
 // bearer is an upstream with the load it will bear once all moves are done.
@@ -98,7 +127,7 @@
 		b := &bearer{member: m}
 		p.bearers[m.number] = b
 		if m.state == Ready || m.state == Silent {
-			b.target = m.capacity * ramp(now, m)
+			b.target = m.capacity * ramp(now, m, w.tuning.Ramp)
 			total += b.target
 		}
 		if m.state == Ready {
@@ -136,7 +165,7 @@
 }
 
 // ramp returns the part of its capacity that a cold upstream is trusted with.
-func ramp(now time.Duration, m *Member) float64 {
+func ramp(now time.Duration, m *Member, rampTime time.Duration) float64 {
 	flaps := min(m.flaps, maxFlaps)
 	length := rampTime << flaps
 	age := now - m.joinedAt
@@ -148,11 +177,11 @@
 }
 
 func (w *Weighted) refill(now time.Duration, weights conf.Weights) {
-	most := churnPerMinute / max(weights.Churn(), 0.25)
+	most := w.tuning.ChurnPerMinute / max(weights.Churn(), 0.25)
 	w.budget = min(most, w.budget+most*float64(now-w.budgetAt)/float64(time.Minute))
 	w.budgetAt = now
 	for start, at := range w.moved {
-		if now-at > HoldTime {
+		if now-at > w.tuning.Hold {
 			delete(w.moved, start)
 		}
 	}
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -40,9 +40,11 @@
 	Host  table.EntryHost
 	Hosts *wire.Hosts
 	Lease time.Duration
-	Table *route.Table
-	Tally *tally.Tally
-	Log   *events.Log
+	// Report is how often load is told to control.
+	Report time.Duration
+	Table  *route.Table
+	Tally  *tally.Tally
+	Log    *events.Log
 }
 
 // pendingAnnouncement is an announcement that waits for the next renewal.
@@ -66,6 +68,9 @@
 
 // New returns a follower.
 func New(o Options) *Follower {
+	if o.Report == 0 {
+		o.Report = loadPeriod
+	}
 	f := &Follower{options: o, wake: make(chan struct{}, 1), loadAt: time.Now()}
 	f.leaseEnd.Store(&time.Time{})
 	return f
@@ -148,7 +153,7 @@
 			sleep(ctx, batchPause)
 		}
 		f.renew(ctx)
-		timer.Reset(f.options.Lease / renewsPerLease)
+		timer.Reset(min(f.options.Lease/renewsPerLease, f.options.Report))
 	}
 }
 
@@ -196,7 +201,7 @@
 	for _, p := range pending {
 		r.Announcements = append(r.Announcements, p.announcement)
 	}
-	if since := time.Since(f.loadAt); since >= loadPeriod {
+	if since := time.Since(f.loadAt); since >= f.options.Report {
 		r.Period = since
 		f.loadAt = time.Now()
 		f.options.Tally.Take(&r)
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/oklog/run"
 
@@ -32,6 +33,17 @@
 	return group.Forming{Seeds: d.settings.Control(), Found: d.settings.Founds(), Voters: d.settings.Voters()}
 }
 
+// itemsReport is how often entry hosts that route by items tell their load: the busiest numbered keys change within seconds.
+const itemsReport = time.Second
+
+// reportPeriod returns how often load is told to control, zero for the usual.
+func (d *Daemon) reportPeriod() time.Duration {
+	if d.settings.Routing() == conf.RoutingItems {
+		return itemsReport
+	}
+	return 0
+}
+
 // openBroker makes the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Dialect: d.platform.Dialect(),
