--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -42,6 +42,8 @@
 	Client     *wire.Client
 	Log        *events.Log
 	Forming    Forming
+	// Datagrams tells that small messages between control hosts go as datagrams, which nothing encrypts.
+	Datagrams bool
 }
 
 // disk is what a control host keeps across restarts.
@@ -118,10 +120,17 @@
 	start := clock.Boot()
 	p := newPeers(o.Client)
 	g, err = assemble(o, d, p, func() time.Duration { return clock.Boot() - start + time.Millisecond })
-	if err == nil {
-		p.later, g.reopen = g.later, open
+	if err != nil {
+		return nil, err
 	}
-	return g, err
+	p.later, g.reopen = g.later, open
+	if o.Datagrams {
+		if p.direct, err = listenDatagrams(o.Address); err != nil {
+			return nil, err
+		}
+		go p.direct.run(g.accept)
+	}
+	return g, nil
 }
 
 // assemble puts a control host together from its disk, its way to the others and its clock.
--- a/internal/control/group/peers.go
+++ b/internal/control/group/peers.go
@@ -29,6 +29,7 @@
 // peers sends messages to the other control hosts; what cannot be sent in time is dropped, as the core repeats itself.
 type peers struct {
 	client *wire.Client
+	direct *datagrams
 	mutex  sync.Mutex
 	queues map[string]chan agree.Message
 	later  func(func())
@@ -42,7 +43,12 @@
 	return p
 }
 
-func (p *peers) stop() { p.cancel() }
+func (p *peers) stop() {
+	p.cancel()
+	if p.direct != nil {
+		_ = p.direct.conn.Close()
+	}
+}
 
 func (p *peers) send(members agree.Members, messages []agree.Message) {
 	for _, m := range messages {
@@ -103,6 +109,9 @@
 }
 
 func (p *peers) deliver(address string, timeout time.Duration, messages []agree.Message) {
+	if p.direct.send(address, messages) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
 	_, _ = wire.Call[batch, oper.Empty](ctx, p.client, address, oper.Deliver, &batch{Messages: messages})
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -43,14 +43,19 @@
 // deliver takes in messages of a peer; what finds no room is dropped, as the sender repeats itself.
 func (g *Group) deliver(_ context.Context, b *batch) (*oper.Empty, error) {
 	for _, m := range b.Messages {
-		select {
-		case g.inbox <- m:
-		default:
-		}
+		g.accept(m)
 	}
 	return &oper.Empty{}, nil
 }
 
+// accept takes a message in, or drops it where there is no room.
+func (g *Group) accept(m agree.Message) {
+	select {
+	case g.inbox <- m:
+	default:
+	}
+}
+
 func (g *Group) identify(ctx context.Context, _ *oper.Empty) (answer *oper.Identity, err error) {
 	err = g.do(ctx, func() { answer = g.identity() })
 	return answer, err
--- a/internal/entry/deal/ask.go
+++ b/internal/entry/deal/ask.go
@@ -25,6 +25,9 @@
 
 // Request asks for a slot and waits for it. Without a dealer that answers it returns ErrNoDealer.
 func (o *Office) Request(ctx context.Context, a Ask) (s *Slot, err error) {
+	if o.conn == nil {
+		return nil, &ErrNoDealer{}
+	}
 	o.mutex.Lock()
 	dealers := o.dealers(o.options.Clock(), a.Service)
 	o.mutex.Unlock()
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -44,6 +44,9 @@
 	return 0
 }
 
+// datagrams reports whether this host speaks to others by datagrams: only where the network between them is trusted.
+func (d *Daemon) datagrams() bool { return d.security == nil && d.settings.Trusted() }
+
 // openBroker makes the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Dialect: d.platform.Dialect(),
@@ -60,6 +63,9 @@
 	}
 	addServer(parts, func() error { return d.front.Serve(listener) }, d.front.Close)
 	parts.Add(func() error { return d.broker.Run(ctx) }, func(error) { cancel() })
+	if !d.datagrams() {
+		return nil
+	}
 	if err = d.broker.Office().Listen(); err != nil {
 		return err
 	}
--- a/internal/shared/conf/settings.go
+++ b/internal/shared/conf/settings.go
@@ -41,6 +41,7 @@
 	retryShare     float64
 	retryBase      float64
 	retryWindow    time.Duration
+	trusted        bool
 }
 
 // Ways in which callers' requests are routed.
@@ -70,6 +71,9 @@
 // Forms reports whether the control group forms itself.
 func (s *Settings) Forms() bool { return s.forms }
 
+// Trusted reports whether the network between the hosts is said to be trusted.
+func (s *Settings) Trusted() bool { return s.trusted }
+
 // Founds reports whether this host starts the control group if its folder is empty: on the first start of the whole system,
 // the control host whose address sorts first.
 func (s *Settings) Founds() bool { return s.forms && s.found && slices.Min(s.control) == s.peers }
@@ -254,8 +258,8 @@
 	if set != 0 && set != 3 {
 		r.fault(r.lines[place{section: "tls"}], "tls", "", "only some of the files", "certificate, key and authority together, or none")
 	}
-	trusted := read(r, "network", "trusted", false, yesNo())
-	if set == 0 && !trusted {
+	s.trusted = read(r, "network", "trusted", false, yesNo())
+	if set == 0 && !s.trusted {
 		s.demandLoopback(r, "peers", s.peers)
 	}
 }
