--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -20,7 +20,7 @@
 	parkShare   = 0.6                    // part of the time left for which a key without owner is waited for
 	parkPause   = 60 * time.Millisecond  // pause between looks at a key without owner while nothing is told
 	ownerRetry  = 900 * time.Millisecond // an owner that turned a key away is asked again after this, about a heartbeat
-	leaveMargin = 0.8                    // part of the time that a leaving upstream may be sent requests which is used
+	leaveMargin = 0.7                    // part of the time that a leaving upstream may be sent requests which is used; connecting takes the rest
 )
 
 // staleOwner is an owner that said it does not hold the key.
@@ -140,7 +140,7 @@
 		now = b.options.Clock()
 		o := route.Owner(view, j.service, j.hash)
 		switch {
-		case o.Known && !j.isStale(now, o) && b.stock.mayServe(now, o.Upstream, time.Duration(leaveMargin*float64(b.options.LeaveTime))):
+		case o.Known && !j.isStale(now, o) && b.mayServe(now, o.Upstream):
 			u, refusal, again := j.atOwner(ctx, o)
 			if !again {
 				return u, refusal
@@ -158,6 +158,11 @@
 	}
 }
 
+// mayServe reports whether an upstream may still be sent requests.
+func (b *Broker) mayServe(now time.Duration, u table.Upstream) bool {
+	return b.stock.mayServe(now, u, time.Duration(leaveMargin*float64(b.options.LeaveTime)))
+}
+
 // isStale reports whether the owner has said that it does not hold the key, and nothing has changed since.
 func (j *job) isStale(now time.Duration, o route.Holder) bool {
 	s := j.stale
@@ -185,7 +190,8 @@
 	if refusal != nil {
 		return u, refusal, false
 	}
-	if current := route.Owner(b.options.Table.View(), j.service, j.hash); current.Upstream.Number != u.Number {
+	current := route.Owner(b.options.Table.View(), j.service, j.hash)
+	if current.Upstream.Number != u.Number || !b.mayServe(b.options.Clock(), current.Upstream) {
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return u, nil, true
 	}
