--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -165,6 +165,7 @@
 			Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, ChecksFence: a.ChecksFence,
 			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Reports: a.Reports}})
 	case answer.Status == table.GrantHeld && a.Leaving && !u.Leaving:
+		g.options.Log.Write(events.UpstreamLeaves, zap.String("upstream", a.Name), zap.Uint64("incarnation", a.Incarnation))
 		g.proposeDuty(state.Command{Drain: &state.Drain{Name: a.Name, On: true, Self: true}})
 	}
 	return answer
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -33,7 +33,7 @@
 // newOffice returns the part that asks dealers for slots, and deals where it is asked.
 func (b *Broker) newOffice() *deal.Office {
 	return deal.New(deal.Options{Self: deal.Host{Name: b.options.Host, Address: b.options.Address}, Clock: b.options.Clock,
-		Budget: b.options.Budget, Hosts: b.dealers, Upstreams: b.seats,
+		Budget: b.options.Budget, Hosts: b.dealers, Upstreams: b.seats, Fit: b.options.InTouch,
 		Changed: func(service, dealer string, silent bool) {
 			b.options.Log.Write(events.DealerSilent, zap.String("service", service), zap.String("dealer", dealer), zap.Bool("silent", silent))
 		}})
@@ -118,11 +118,13 @@
 	return u, nil, err
 }
 
-// avoided returns the upstreams that must not be used for the request: those tried, and those this host cannot reach.
+// avoided returns the upstreams that must not be used for the request: those tried, those that leave, which the dealer may not
+// know yet, and those this host cannot reach.
 func (b *Broker) avoided(now time.Duration, j *job) []uint32 {
 	list := slices.Clone(j.tried)
 	for _, u := range b.options.Table.View().UpstreamsOf(j.service) {
-		if reachable, _ := b.stock.reachable(now, u); !reachable && !slices.Contains(list, u.Number) {
+		reachable, _ := b.stock.reachable(now, u)
+		if (u.Leaving || !reachable) && !slices.Contains(list, u.Number) {
 			list = append(list, u.Number)
 		}
 	}
--- a/internal/entry/deal/ask.go
+++ b/internal/entry/deal/ask.go
@@ -75,6 +75,8 @@
 			switch r.Verdict {
 			case Go:
 				return &Slot{office: o, dealer: h.Address, service: a.Service, id: a.ID, Upstream: r.Upstream}, nil
+			case Elsewhere:
+				return nil, &ErrNoDealer{}
 			case Wait:
 				asked = askPeriod
 				timer.Reset(asked)
@@ -103,6 +105,10 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if h.Address == o.options.Self.Address {
+		if !o.options.Fit() {
+			o.deliver(a.Service, []addressed{{Key{Host: h.Address, ID: a.ID}, Reply{ID: a.ID, Verdict: Elsewhere}}})
+			return
+		}
 		o.deliver(a.Service, o.desk(now, a.Service).Offer(now, h.Address, a))
 		return
 	}
--- a/internal/entry/deal/desk_test.go
+++ b/internal/entry/deal/desk_test.go
@@ -195,14 +195,14 @@
 
 // load is one pattern that replays run against the dealer and against hosts that choose blindly.
 type load struct {
-	name     string
-	slots    []int
-	paces    []float64
-	perSec   float64
-	took     time.Duration
-	urgent   float64
-	most     float64 // largest share of requests that may miss their objective
-	ofBlind  float64 // largest part of the misses of blind hosts
+	name    string
+	slots   []int
+	paces   []float64
+	perSec  float64
+	took    time.Duration
+	urgent  float64
+	most    float64 // largest share of requests that may miss their objective
+	ofBlind float64 // largest part of the misses of blind hosts
 }
 
 // loads are the patterns that matter most: near full with upstreams of unequal pace, beyond full, and a few very slow ones.
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -60,7 +60,9 @@
 	Upstreams func(service string) []Upstream
 	Budget    Budget
 	Clock     clock.Clock
-	Changed   func(service, dealer string, silent bool)
+	// Fit reports whether this host knows the table well enough to deal.
+	Fit     func() bool
+	Changed func(service, dealer string, silent bool)
 }
 
 // pending is an ask of this host that waits for replies.
@@ -162,6 +164,10 @@
 		o.later(from, p.Service, func(q *packet) { q.Acks = append(q.Acks, r.ID) })
 	}
 	for _, a := range p.Asks {
+		if !o.options.Fit() {
+			replies = append(replies, addressed{Key{Host: from, ID: a.ID}, Reply{ID: a.ID, Verdict: Elsewhere}})
+			continue
+		}
 		replies = append(replies, desk.Offer(now, from, a)...)
 	}
 	o.deliver(p.Service, replies)
--- a/internal/entry/deal/types.go
+++ b/internal/entry/deal/types.go
@@ -39,6 +39,8 @@
 	Spent
 	// Nowhere means that the dealer knows no upstream that may run the request.
 	Nowhere
+	// Elsewhere means that the host deals no slots now; another one is to be asked.
+	Elsewhere
 )
 
 // Reply answers an ask.
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -13,6 +13,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/tally"
 	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
@@ -64,6 +65,7 @@
 	leaving  atomic.Bool
 	loadAt   time.Time
 	lost     atomic.Bool
+	touched  atomic.Int64
 }
 
 // New returns a follower.
@@ -82,6 +84,14 @@
 // Joined reports whether the host holds a lease now.
 func (f *Follower) Joined() bool { return time.Now().Before(f.LeaseEnd()) }
 
+// touchTime is for how long after an answer of control an entry host counts as in touch; several watches fit into it.
+const touchTime = 2 * time.Second
+
+// InTouch reports whether control answered lately.
+func (f *Follower) InTouch() bool { return clock.Boot()-time.Duration(f.touched.Load()) < touchTime }
+
+func (f *Follower) touch() { f.touched.Store(int64(clock.Boot())) }
+
 // Leave tells control with the next renewal that this host stops being anyone's home.
 func (f *Follower) Leave() {
 	f.leaving.Store(true)
@@ -231,6 +241,7 @@
 			sleep(ctx, failurePause)
 			continue
 		}
+		f.touch()
 		full = !f.apply(*delta)
 		sleep(ctx, watchGap)
 	}
@@ -260,7 +271,8 @@
 	if len(d.Control) > 0 {
 		f.learn(d.Control)
 	}
-	f.options.Log.Write(events.TableApplied, zap.Uint64("version", after.Version()))
+	f.options.Log.Write(events.TableApplied, zap.Uint64("version", after.Version()), zap.String("control", f.Control()),
+		zap.Int("upstreams", len(d.Upstreams)), zap.Int("items", len(d.Items)), zap.Int("services", len(d.Tables)))
 	if after.Config().Version != before.Config().Version {
 		f.options.Log.Write(events.ConfigInForce, zap.Uint64("version", after.Config().Version))
 	}
