--- a/internal/ops/events/events.go
+++ b/internal/ops/events/events.go
@@ -1,7 +1,10 @@
 package events
 
 import (
+	"io"
+	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -25,6 +28,8 @@
 	level  zapcore.Level
 	layer  Layer
 	text   string
+	// ordinary events tell of what goes well, and are left out first.
+	ordinary bool
 }
 
 // Number returns the event's number.
@@ -83,7 +88,7 @@
 	ConfigInForce    = event(3003, zap.InfoLevel, LayerEntry, "configuration version in force")
 	ControlLost      = event(3101, zap.WarnLevel, LayerEntry, "no control leader answers")
 	ControlFound     = event(3102, zap.InfoLevel, LayerEntry, "control leader answers again")
-	RequestEnded     = event(3203, zap.InfoLevel, LayerEntry, "request answered")
+	RequestEnded     = ordinary(3203, zap.InfoLevel, LayerEntry, "request answered")
 	RequestFailed    = event(3204, zap.WarnLevel, LayerEntry, "request not served")
 	RequestRefused   = event(3205, zap.InfoLevel, LayerEntry, "request turned away before it was read")
 	TryFailed        = event(3206, zap.InfoLevel, LayerEntry, "try at an upstream failed")
@@ -104,51 +109,86 @@
 	return e
 }
 
+func ordinary(number int, level zapcore.Level, layer Layer, text string) Event {
+	e := event(number, level, layer, text)
+	e.ordinary = true
+	catalogue[number] = e
+	return e
+}
+
 // Catalogue returns all events by number.
 func Catalogue() map[int]Event { return catalogue }
 
-// Log writes numbered events.
+// Log writes numbered events as lines of JSON.
 type Log struct {
 	zap    *zap.Logger
+	writer *writer
 	layers map[Layer]bool
+	limits map[int]*limit
 }
 
-// New returns a log at the level; details of the named layers are logged whatever the level.
+// New returns a log on standard output at the level; details of the named layers are logged whatever the level.
 func New(level, layers, host string) (l *Log, err error) {
+	return newLog(os.Stdout, level, layers, host)
+}
+
+func newLog(to io.Writer, level, layers, host string) (l *Log, err error) {
 	defer func() { err = errors.WithMessage(err, "open log") }()
 	lowest, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	l = &Log{layers: map[Layer]bool{}}
+	l = &Log{writer: newWriter(to), layers: map[Layer]bool{}, limits: map[int]*limit{}}
 	for _, name := range strings.Split(layers, ",") {
 		if name = strings.TrimSpace(name); name != "" {
 			l.layers[Layer(name)] = true
 			lowest = zap.DebugLevel
 		}
 	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(lowest)
-	c.DisableStacktrace, c.DisableCaller = true, true
-	c.Sampling = nil
-	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	l.zap, err = c.Build(zap.Fields(zap.String("host", host)))
-	return l, err
+	for number, e := range catalogue {
+		l.limits[number] = newLimit(failurePerSecond, failureBurst)
+		if e.ordinary {
+			l.limits[number] = newLimit(ordinaryPerSecond, ordinaryBurst)
+		}
+	}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), l.writer, zap.NewAtomicLevelAt(lowest))
+	l.zap = zap.New(core, zap.Fields(zap.String("host", host)))
+	return l, nil
 }
 
 // Nop returns a log that writes nothing.
 func Nop() *Log { return &Log{zap: zap.NewNop()} }
 
-// Write logs an event with its fields; details below info are written only for layers that were named.
+// Write logs an event with its fields; details below info are written only for layers that were named. An event that comes too
+// often is left out, and the next line of it tells how many were.
 func (l *Log) Write(e Event, fields ...zap.Field) {
 	if e.level == zap.DebugLevel && !l.layers[e.layer] {
 		return
 	}
+	if limit := l.limits[e.number]; limit != nil {
+		ok, skipped := limit.allow(time.Now())
+		if !ok {
+			return
+		}
+		if skipped > 0 {
+			fields = append(fields, zap.Int64("leftOut", skipped))
+		}
+	}
 	if entry := l.zap.Check(e.level, e.text); entry != nil {
 		entry.Write(append(fields, zap.Int("event", e.number), zap.String("layer", string(e.layer)))...)
 	}
 }
 
+// Dropped returns how many lines found no room because nobody read them.
+func (l *Log) Dropped() int64 {
+	if l.writer == nil {
+		return 0
+	}
+	return l.writer.dropped.Load()
+}
+
 // Sync flushes the log.
 func (l *Log) Sync() { _ = l.zap.Sync() }
 
