--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -101,7 +101,7 @@
 // Handle answers one request.
 func (b *Broker) Handle(ctx context.Context, r *serve.Request) *serve.Answer {
 	j := &job{broker: b, request: r, arrived: r.Arrived, id: r.HTTP.Header.Get(b.options.Dialect.RequestID)}
-	view := b.options.Table.View()
+	view := b.awaitConfig(ctx, r)
 	if view.Items().Router().Empty() {
 		return j.refuse(ReasonNoConfig, noConfigPause)
 	}
@@ -126,11 +126,34 @@
 
 // Pauses that a caller is told to make, where nothing tells better.
 const (
-	noConfigPause   = 500 * time.Millisecond // a starting host learns the configuration within this time
-	noUpstreamPause = time.Second            // about one heartbeat of an upstream
-	turnedPause     = 150 * time.Millisecond // about one request of an upstream
+	noConfigPause     = 500 * time.Millisecond  // a starting host learns the configuration within this time
+	longestConfigWait = 1500 * time.Millisecond // a control group that was lost as a whole is back within this time
+	noUpstreamPause   = time.Second             // about one heartbeat of an upstream
+	turnedPause       = 150 * time.Millisecond  // about one request of an upstream
 )
 
+// awaitConfig returns the view once it has routes. A host that has just started learns them within a moment, so that the
+// request waits for a part of its time; it is refused if they do not come.
+func (b *Broker) awaitConfig(ctx context.Context, r *serve.Request) *table.View {
+	view := b.options.Table.View()
+	if !view.Items().Router().Empty() {
+		return view
+	}
+	most := longestConfigWait
+	if left, ok := b.options.Dialect.deadlineOf(r.HTTP.Header); ok {
+		most = min(most, time.Duration(parkShare*float64(left)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for ctx.Err() == nil && view.Items().Router().Empty() {
+		if b.options.Table.Await(ctx, view.Version()) != nil {
+			break
+		}
+		view = b.options.Table.View()
+	}
+	return b.options.Table.View()
+}
+
 // findKey takes the numbered key out of a request for a keyed service.
 func (j *job) findKey(view *table.View) *serve.Answer {
 	v, ok := view.Items().Service(j.service)
--- a/internal/entry/deal/ask.go
+++ b/internal/entry/deal/ask.go
@@ -131,7 +131,7 @@
 		return
 	}
 	o.unacked[r.ID] = &unacked{to: dealer, service: service, result: r, at: now}
-	o.later(dealer, service, func(p *packet) { p.Results = append(p.Results, r) })
+	o.later(dealer, service, resultDelay, func(p *packet) { p.Results = append(p.Results, r) })
 }
 
 // Finish gives the slot back with how the request fared.
--- a/internal/entry/deal/desk.go
+++ b/internal/entry/deal/desk.go
@@ -133,9 +133,10 @@
 // Tick refuses what can no longer be served in time and frees the slots of requests that were never heard of again.
 func (d *Desk) Tick(now time.Duration) (replies []addressed) {
 	for _, c := range slices.Clone(d.waiting) {
-		if now+d.timeAt(c)/2 > c.expires {
+		wait := d.expectedWait(now, c)
+		if now+d.timeAt(c)/2 > c.expires || now+wait > c.expires {
 			d.drop(c)
-			replies = append(replies, addressed{c.key, Reply{ID: c.key.ID, Verdict: Refuse, After: d.expectedWait(now, c)}})
+			replies = append(replies, addressed{c.key, Reply{ID: c.key.ID, Verdict: Refuse, After: wait}})
 		}
 	}
 	for _, c := range d.claims {
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -23,8 +23,9 @@
 	askPeriod    = 200 * time.Millisecond // a request that waits asks again this often, in case the dealer has gone
 	silentTime   = 1500 * time.Millisecond
 	tickPeriod   = 15 * time.Millisecond
-	resultDelay  = 3 * time.Millisecond // results wait so long for others to the same host
-	resultResend = 80 * time.Millisecond
+	resultDelay  = 3 * time.Millisecond  // results wait so long for others to the same host
+	ackDelay     = 50 * time.Millisecond // confirmations wait longer, as nobody waits for them
+	resultResend = 140 * time.Millisecond
 	resultTries  = 4
 	maxPacket    = 8 << 10 // bytes
 	dealersTried = 2
@@ -38,6 +39,7 @@
 	Replies []Reply
 	Results []Result
 	Acks    []uint64
+	due     time.Duration
 }
 
 // ErrNoDealer is returned when no dealer answers; the caller decides alone.
@@ -90,7 +92,6 @@
 	silent  map[string]time.Duration
 	late    map[outKey]*packet
 	nextID  uint64
-	lateAt  bool
 }
 
 // outKey names where results wait to be sent.
@@ -161,7 +162,7 @@
 	desk := o.desk(now, p.Service)
 	for _, r := range p.Results {
 		replies = append(replies, desk.Finish(now, from, r)...)
-		o.later(from, p.Service, func(q *packet) { q.Acks = append(q.Acks, r.ID) })
+		o.later(from, p.Service, ackDelay, func(q *packet) { q.Acks = append(q.Acks, r.ID) })
 	}
 	for _, a := range p.Asks {
 		if !o.options.Fit() {
@@ -229,7 +230,7 @@
 }
 
 // later adds to what is sent to a host a little later, so that several go together; the mutex must be held.
-func (o *Office) later(to, service string, add func(*packet)) {
+func (o *Office) later(to, service string, delay time.Duration, add func(*packet)) {
 	key := outKey{to: to, service: service}
 	p := o.late[key]
 	if p == nil {
@@ -237,20 +238,23 @@
 		o.late[key] = p
 	}
 	add(p)
-	if !o.lateAt {
-		o.lateAt = true
-		time.AfterFunc(resultDelay, o.flush)
+	due := o.options.Clock() + delay
+	if p.due == 0 || due < p.due {
+		p.due = due
+		time.AfterFunc(delay, func() { o.flush(key) })
 	}
 }
 
-func (o *Office) flush() {
+// flush sends what waits for a host once it is due.
+func (o *Office) flush(key outKey) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.lateAt = false
-	for key, p := range o.late {
-		delete(o.late, key)
-		o.write(key.to, p)
+	p := o.late[key]
+	if p == nil || o.options.Clock()+time.Millisecond < p.due {
+		return
 	}
+	delete(o.late, key)
+	o.write(key.to, p)
 }
 
 // tick runs the desks' clocks and sends unconfirmed results again.
@@ -285,7 +289,7 @@
 			continue
 		}
 		u.at = now
-		o.later(u.to, u.service, func(p *packet) { p.Results = append(p.Results, u.result) })
+		o.later(u.to, u.service, resultDelay, func(p *packet) { p.Results = append(p.Results, u.result) })
 	}
 }
 
