--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -10,6 +10,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
@@ -22,6 +23,7 @@
 	pool    *conns.Pool
 	stock   *stock
 	office  *deal.Office
+	stale   *staleOwners
 	mutex   sync.Mutex
 	budgets map[string]*budget
 	splits  map[string]*split
@@ -29,7 +31,7 @@
 
 // New returns a broker.
 func New(o Options) *Broker {
-	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), budgets: map[string]*budget{}, splits: map[string]*split{}}
+	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), budgets: map[string]*budget{}, splits: map[string]*split{}}
 	b.office = b.newOffice()
 	return b
 }
@@ -69,6 +71,7 @@
 	for _, u := range b.options.Table.View().Upstreams() {
 		live[connKey(u)] = true
 	}
+	b.stale.sweep(b.options.Clock())
 	b.pool.Sweep(func(key string) bool { return live[key] })
 }
 
@@ -89,8 +92,7 @@
 	sends    int
 	slot     *deal.Slot
 	counted  bool
-	stale    *staleOwner
-	fence    uint64
+	holder   route.Holder
 	mayRan   bool
 	upstream string
 	waited   time.Duration
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -17,19 +17,11 @@
 
 // Times of placing.
 const (
-	parkShare   = 0.6                    // part of the time left for which a key without owner is waited for
-	parkPause   = 60 * time.Millisecond  // pause between looks at a key without owner while nothing is told
-	ownerRetry  = 900 * time.Millisecond // an owner that turned a key away is asked again after this, about a heartbeat
-	leaveMargin = 0.7                    // part of the time that a leaving upstream may be sent requests which is used; connecting takes the rest
+	parkShare   = 0.6                   // part of the time left for which a key without owner is waited for
+	parkPause   = 60 * time.Millisecond // pause between looks at a key without owner while nothing is told
+	leaveMargin = 0.7                   // part of the time that a leaving upstream may be sent requests which is used; connecting takes the rest
 )
 
-// staleOwner is an owner that said it does not hold the key.
-type staleOwner struct {
-	number uint32
-	fence  uint64
-	at     time.Duration
-}
-
 // newOffice returns the part that asks dealers for slots, and deals where it is asked.
 func (b *Broker) newOffice() *deal.Office {
 	return deal.New(deal.Options{Self: deal.Host{Name: b.options.Host, Address: b.options.Address}, Clock: b.options.Clock,
@@ -142,7 +134,7 @@
 		now = b.options.Clock()
 		o := route.Owner(view, j.service, j.hash)
 		switch {
-		case o.Known && !j.isStale(now, o) && b.mayServe(now, o.Upstream):
+		case o.Known && !b.stale.holds(now, j.service, o) && b.mayServe(now, o.Upstream):
 			u, refusal, again := j.atOwner(ctx, o)
 			if !again {
 				return u, refusal
@@ -165,12 +157,6 @@
 	return b.stock.mayServe(now, u, time.Duration(leaveMargin*float64(b.options.LeaveTime)))
 }
 
-// isStale reports whether the owner has said that it does not hold the key, and nothing has changed since.
-func (j *job) isStale(now time.Duration, o route.Holder) bool {
-	s := j.stale
-	return s != nil && s.number == o.Upstream.Number && s.fence == o.Fence && (o.Moving || now-s.at < ownerRetry)
-}
-
 // atOwner asks for a slot at the owner; again tells that the owner changed while the request waited.
 func (j *job) atOwner(ctx context.Context, o route.Holder) (u table.Upstream, refusal *serve.Answer, again bool) {
 	b := j.broker
@@ -187,6 +173,7 @@
 		if !j.alone() {
 			return u, j.refuse(ReasonBudgetSpent, turnedPause), false
 		}
+		j.holder = o
 		return o.Upstream, nil, false
 	}
 	if refusal != nil {
@@ -197,7 +184,7 @@
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return u, nil, true
 	}
-	j.fence = o.Fence
+	j.holder = o
 	return u, nil, false
 }
 
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -124,7 +124,9 @@
 		v := verdictTurnedAway
 		if got.Status == http.StatusMisdirectedRequest {
 			v = verdictAbandoned
-			j.stale = &staleOwner{number: u.Number, fence: j.fence, at: b.options.Clock()}
+			if j.keyed {
+				b.stale.note(b.options.Clock(), j.service, j.holder)
+			}
 			j.attempts--
 		}
 		j.end(u, v, took, load)
