--- a/internal/entry/pick/pick.go
+++ b/internal/entry/pick/pick.go
@@ -67,12 +67,13 @@
 			weight += w
 		}
 	}
-	if weight < 1e-3 {
-		return 0
-	}
-	return sum / weight
+	return sum / (weight + priorWeight*float64(len(list)))
 }
 
+// priorWeight is how much each upstream counts as idle when the average is taken, in fresh readings, so that one full upstream
+// does not make those that nobody asked yet look full.
+const priorWeight = 0.5
+
 // Choose returns the position of the upstream to use, or false where there is none. A few are drawn, faster ones with more
 // slots more often, and the cheapest of them is taken: hosts that know the same do not all turn to the same upstream.
 func Choose(list []Candidate, random func() float64) (best int, ok bool) {
