--- a/internal/entry/pick/pick.go
+++ b/internal/entry/pick/pick.go
@@ -13,6 +13,7 @@
 	doubtCost    = 6.0                    // cost of an upstream that fails every request
 	fullSlowdown = 0.15                   // how much slower an upstream gets as its last slots fill
 	tries        = 3                      // upstreams compared for one choice
+	sameCost     = 0.03                   // costs that differ by less count as equal
 )
 
 // Candidate is what one entry host knows of an upstream.
@@ -88,7 +89,7 @@
 	best, lowest := -1, math.Inf(1)
 	for range min(tries, len(list)) {
 		i := draw(list, random()*total)
-		if cost := list[i].Cost(others); cost < lowest {
+		if cost := list[i].Cost(others); cost < lowest-sameCost {
 			best, lowest = i, cost
 		}
 	}
