--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -293,6 +293,17 @@
 	}
 }
 
+// Load returns the slots that this host has dealt and the requests that wait here.
+func (o *Office) Load() (busy, waiting int) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, d := range o.desks {
+		b, w := d.Load()
+		busy, waiting = busy+b, waiting+w
+	}
+	return busy, waiting
+}
+
 // Follow brings all desks in line with the table.
 func (o *Office) Follow() {
 	now := o.options.Clock()
--- a/internal/ops/cmds/operator.go
+++ b/internal/ops/cmds/operator.go
@@ -113,6 +113,8 @@
 	add(p, "check", "Check service files", "Checks service files without a running system and prints every fault.", &checkCommand{shared: o})
 	add(p, "diff", "Compare service files with those in force", "Prints which services would be added, changed or withdrawn.", &diffCommand{shared: o})
 	add(p, "status", "Show the state of the system", "Shows control hosts, entry hosts and whether the configuration is in force everywhere; --wait waits until it is.", &statusCommand{shared: o})
+	add(p, "items", "List configuration items", "Lists the configuration items in force with their versions.", &itemsCommand{shared: o})
+	add(p, "explain", "Tell a request's story from logs", "Reads the daemons' logs, from FILEs or standard input, and prints the lines that name the id in order of time.", &explainCommand{shared: o})
 	add(p, "owners", "Show who owns a key", "Shows the upstream that owns a key, its fence and the entry host that queues for it.", &ownersCommand{shared: o})
 	add(p, "upstreams", "List upstreams", "Lists upstreams with their slices, share of the key space and requests a second.", &upstreamsCommand{shared: o})
 	add(p, "drain", "Drain an upstream", "Moves all keys away from an upstream and waits until it owns none.", &drainCommand{shared: o, on: true})
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -55,6 +55,9 @@
 	gauge("ebonyrill_config_version", "Version of the configuration in force.", func() float64 {
 		return float64(d.table.View().Config().Version)
 	})
+	if d.broker != nil {
+		d.registerDealing(gauge, counter)
+	}
 	gauge("ebonyrill_parked_requests", "Requests that wait for an owner.", func() float64 { return float64(d.table.Parked()) })
 	gauge("ebonyrill_waiting_requests", "Requests that wait for a slot of an upstream.", func() float64 {
 		_, waiting := d.relay.Load()
@@ -66,6 +69,27 @@
 	})
 }
 
+// registerDealing adds what this host deals to others, and its connections to upstreams.
+func (d *Daemon) registerDealing(gauge func(name, help string, value func() float64), counter func(name, help string, value func() int64)) {
+	gauge("ebonyrill_dealt_slots", "Slots of upstreams that this host has dealt and that are in use.", func() float64 {
+		busy, _ := d.broker.Office().Load()
+		return float64(busy)
+	})
+	gauge("ebonyrill_dealt_waiting", "Requests that wait for a slot that this host deals.", func() float64 {
+		_, waiting := d.broker.Office().Load()
+		return float64(waiting)
+	})
+	counter("ebonyrill_upstream_connections_total", "Connections opened to upstreams.", func() int64 {
+		dials, _ := d.broker.Pool().Counts()
+		return dials
+	})
+	counter("ebonyrill_upstream_reuses_total", "Requests sent on a connection that carried others before.", func() int64 {
+		_, reuses := d.broker.Pool().Counts()
+		return reuses
+	})
+	gauge("ebonyrill_caller_connections", "Open connections of callers.", func() float64 { return float64(d.front.Count()) })
+}
+
 // serveAnnounce passes an upstream's announcement on to control.
 func (d *Daemon) serveAnnounce(c iris.Context) {
 	c.SetMaxRequestBodySize(maxAnnounceBytes)
