--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -93,6 +93,7 @@
 	slot     *deal.Slot
 	counted  bool
 	holder   route.Holder
+	cause    string
 	mayRan   bool
 	upstream string
 	waited   time.Duration
--- a/internal/entry/broker/log.go
+++ b/internal/entry/broker/log.go
@@ -18,7 +18,7 @@
 func (b *Broker) logTry(j *job, u table.Upstream, v verdict, took time.Duration) {
 	b.options.Log.Write(events.TryFailed, zap.String("id", j.id), zap.String("service", j.service), zap.String("upstream", u.Name),
 		zap.String("address", u.Address), zap.Stringer("verdict", v), zap.Int("sends", j.sends), zap.Duration("took", took),
-		zap.Duration("left", j.expires-b.options.Clock()), zap.Uint64("fence", j.holder.Fence))
+		zap.Duration("left", j.expires-b.options.Clock()), zap.Uint64("fence", j.holder.Fence), zap.String("cause", j.cause))
 }
 
 // logRecord writes one line for a request: those that were served at a lower level than those that were not.
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -82,6 +82,7 @@
 // failed takes in a try without an answer.
 func (j *job) failed(ctx context.Context, u table.Upstream, took time.Duration, err error) (answer *serve.Answer, again bool) {
 	b := j.broker
+	j.cause = err.Error()
 	var notSent *conns.ErrNotSent
 	if errors.As(err, &notSent) {
 		v := verdictNotReached
@@ -116,6 +117,7 @@
 	b := j.broker
 	d := b.options.Dialect
 	j.attempts++
+	j.cause = "answered " + strconv.Itoa(got.Status)
 	load := j.reading(got)
 	notRun := got.Header.Get(d.NotRun) != "" || got.Status == http.StatusMisdirectedRequest
 	switch {
