--- a/internal/control/group/announce.go
+++ b/internal/control/group/announce.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/control/state"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
--- a/internal/control/group/disk.go
+++ b/internal/control/group/disk.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // diskRetry is how often a disk that refused a write is tried again; short against an election.
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -10,8 +10,8 @@
 	"ebonyrill.dev/ebonyrill/internal/control/grant"
 	"ebonyrill.dev/ebonyrill/internal/control/place"
 	"ebonyrill.dev/ebonyrill/internal/control/state"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
--- a/internal/control/group/members.go
+++ b/internal/control/group/members.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
--- a/internal/control/group/rehome.go
+++ b/internal/control/group/rehome.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/control/state"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -13,8 +13,8 @@
 
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
 	"ebonyrill.dev/ebonyrill/internal/control/state"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -11,7 +11,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -7,8 +7,8 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // Dialect names the headers by which callers and upstreams of a platform tell what the broker needs to know.
--- a/internal/entry/relay/fixture_test.go
+++ b/internal/entry/relay/fixture_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -12,7 +12,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -15,7 +15,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
--- a/internal/entry/tally/tally.go
+++ b/internal/entry/tally/tally.go
@@ -10,7 +10,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/sketch"
-	"ebonyrill.dev/ebonyrill/internal/ops/burn"
+	"ebonyrill.dev/ebonyrill/internal/shared/burn"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
--- a/internal/ops/cmds/burn.go
+++ b/internal/ops/cmds/burn.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"ebonyrill.dev/ebonyrill/internal/ops/burn"
+	"ebonyrill.dev/ebonyrill/internal/shared/burn"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
--- a/internal/ops/daemon/complaints.go
+++ b/internal/ops/daemon/complaints.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // complaints turns what an HTTP server writes of bad connections into numbered events.
--- a/internal/ops/daemon/complaints_test.go
+++ b/internal/ops/daemon/complaints_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // TestPlainTextPeerIsANumberedEvent sends plain text to a TLS server whose complaints become events.
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -12,9 +12,9 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // Platform adapts the daemon to the protocols of a platform; it translates and decides nothing.
--- a/internal/ops/daemon/process_test.go
+++ b/internal/ops/daemon/process_test.go
@@ -18,8 +18,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/sample/drive"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 )
 
--- a/internal/ops/daemon/reload.go
+++ b/internal/ops/daemon/reload.go
@@ -10,8 +10,8 @@
 
 	"go.uber.org/zap"
 
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // settingsPeriod is how often the settings file is looked at for a change that no signal told of.
--- a/internal/sample/drive/scale.go
+++ b/internal/sample/drive/scale.go
@@ -17,7 +17,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/follow"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/tally"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
--- a/internal/sample/trial/forward.go
+++ b/internal/sample/trial/forward.go
@@ -12,8 +12,8 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
-	"ebonyrill.dev/ebonyrill/internal/ops/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
