--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,6 +41,10 @@
 	leavePollPause = 20 * time.Millisecond
 )
 
+// gcPercent is how far the heap may grow between collections, in percent of what is in use; small hosts have more processor time
+// to spare than memory.
+const gcPercent = 50
+
 // headerSlack is how many times the header limit the server takes in, so that the refusal can carry an outcome.
 const headerSlack = 4
 
@@ -166,6 +171,7 @@
 	defer func() { err = errors.WithMessage(err, "run daemon") }()
 	defer d.log.Sync()
 	var parts run.Group
+	debug.SetGCPercent(gcPercent)
 	d.log.Write(events.Starting, zap.Int("pid", os.Getpid()))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
