--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -16,12 +16,12 @@
 
 // Times of forming the group.
 const (
-	enrolPeriod  = 250 * time.Millisecond // a few tries fit into the time before callers come
-	enrolTimeout = 400 * time.Millisecond // a host that is not there yet must not hold up the next try
-	orphanTime   = 3 * time.Second        // a member that hears no leader for so long may have been taken out
-	deadTime     = 15 * time.Second       // a voter unheard for longer gives way if another host stands by
-	applicantAge = 2 * time.Second        // an applicant that stopped asking is not taken in
-	stepPause    = 50 * time.Millisecond  // pause between steps of membership, several commits long
+	enrolPeriod  = 250 * time.Millisecond  // a few tries fit into the time before callers come
+	enrolTimeout = 400 * time.Millisecond  // a host that is not there yet must not hold up the next try
+	orphanTime   = 3 * time.Second         // a member that hears no leader for so long may have been taken out
+	deadTime     = 1800 * time.Millisecond // a voter unheard for longer gives way if a caught-up host stands by; several elections long
+	applicantAge = 2 * time.Second         // an applicant that stopped asking is not taken in
+	stepPause    = 50 * time.Millisecond   // pause between steps of membership, several commits long
 )
 
 // Forming tells how a control host finds its group.
@@ -196,8 +196,8 @@
 		if _, in := members.Find(id); in {
 			continue
 		}
-		if old, ok := memberAt(members, a.identity.Address); ok && old.ID != g.core.ID() {
-			if l.canLose(now, g, members, old) {
+		if old, ok := memberAt(members, a.identity.Address); ok {
+			if old.ID != g.core.ID() && l.canLose(now, g, members, old) {
 				return members.Without(old.ID), "the host at " + old.Address + " has lost its disk"
 			}
 			continue
