--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -53,21 +53,19 @@
 	if j.keyed {
 		return j.placeKeyed(ctx)
 	}
+	u, refusal, err := j.askDealer(ctx, 0)
+	if err == nil {
+		return u, refusal
+	}
+	if !j.alone() {
+		return u, j.refuse(ReasonBudgetSpent, turnedPause)
+	}
 	b := j.broker
-	for {
-		u, refusal, err := j.askDealer(ctx, 0)
-		if err == nil {
-			return u, refusal
-		}
-		if !j.alone() {
-			return u, j.refuse(ReasonBudgetSpent, turnedPause)
-		}
-		u, ok := b.stock.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
-		if !ok {
-			return u, j.refuse(ReasonNoUpstream, noUpstreamPause)
-		}
-		return u, nil
+	u, ok := b.stock.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
+	if !ok {
+		return u, j.refuse(ReasonNoUpstream, noUpstreamPause)
 	}
+	return u, nil
 }
 
 // alone counts a try that this host decides on by itself, and reports whether its part of the budget allows it.
--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -48,7 +48,7 @@
 			}
 			var temporary interface{ Temporary() bool }
 			if errors.As(err, &temporary) && temporary.Temporary() {
-				time.Sleep(acceptPause)
+				s.rest()
 				continue
 			}
 			return err
@@ -60,6 +60,14 @@
 // acceptPause is how long accepting rests when descriptors run out; connections wait in the kernel's queue meanwhile.
 const acceptPause = 10 * time.Millisecond
 
+// rest waits for a moment, or until the server ends.
+func (s *Server) rest() {
+	select {
+	case <-s.done:
+	case <-time.After(acceptPause):
+	}
+}
+
 func (s *Server) open(raw net.Conn) {
 	c := newConn(s, raw)
 	s.mutex.Lock()
