--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -10,6 +10,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
@@ -25,13 +26,13 @@
 	office  *deal.Office
 	stale   *staleOwners
 	mutex   sync.Mutex
-	budgets map[string]*budget
+	repeats map[string]*retry.Window
 	splits  map[string]*split
 }
 
 // New returns a broker.
 func New(o Options) *Broker {
-	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), budgets: map[string]*budget{}, splits: map[string]*split{}}
+	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), repeats: map[string]*retry.Window{}, splits: map[string]*split{}}
 	b.office = b.newOffice()
 	return b
 }
@@ -171,17 +172,6 @@
 	return nil
 }
 
-func (b *Broker) budgetOf(service string) *budget {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	x := b.budgets[service]
-	if x == nil {
-		x = newBudget(b.options.Budget)
-		b.budgets[service] = x
-	}
-	return x
-}
-
 // split deals a route's requests to its targets so that each has its share at any time, not only on average.
 type split struct {
 	version uint64
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
@@ -25,7 +26,7 @@
 // newOffice returns the part that asks dealers for slots, and deals where it is asked.
 func (b *Broker) newOffice() *deal.Office {
 	return deal.New(deal.Options{Self: deal.Host{Name: b.options.Host, Address: b.options.Address}, Clock: b.options.Clock,
-		Budget: b.options.Budget, Hosts: b.dealers, Upstreams: b.seats, Fit: b.options.InTouch,
+		Repeats: b.options.Repeats, Hosts: b.dealers, Upstreams: b.seats, Fit: b.options.InTouch,
 		Changed: func(service, dealer string, silent bool) {
 			b.options.Log.Write(events.DealerSilent, zap.String("service", service), zap.String("dealer", dealer), zap.Bool("silent", silent))
 		}})
@@ -68,16 +69,25 @@
 	return u, nil
 }
 
+// aloneShare is the part of a service's repeats that hosts which decide alone give out in all.
+const aloneShare = 0.7
+
 // alone counts a try that this host decides on by itself, and reports whether its part of the budget allows it.
 func (j *job) alone() bool {
 	b := j.broker
 	now := b.options.Clock()
-	budget := b.budgetOf(j.service)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	w := b.repeats[j.service]
+	if w == nil {
+		w = retry.NewWindow(b.options.Repeats, aloneShare)
+		b.repeats[j.service] = w
+	}
 	if j.sends == 0 {
-		budget.request(now)
+		w.Request(now)
 		return true
 	}
-	return budget.spend(now, max(len(b.options.Table.View().Entries()), 1))
+	return w.Spend(now, 1/float64(max(len(b.options.Table.View().Entries()), 1)))
 }
 
 // askDealer asks the dealer for a slot, of one upstream or of any. An error tells that this host must decide by itself.
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
@@ -45,7 +45,7 @@
 	DataCentre string
 	Dialect    Dialect
 	Table      *route.Table
-	Budget     deal.Budget
+	Repeats    retry.Terms
 	// Address is where other entry hosts reach this one.
 	Address string
 	// InTouch reports whether control answered lately; without that this host deals no slots.
--- a/internal/entry/deal/desk.go
+++ b/internal/entry/deal/desk.go
@@ -3,8 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 )
 
+// repeatShare is the part of a service's repeats that the dealer gives out; the rest covers tries that upstreams count and the
+// dealer does not, as while another host deals.
+const repeatShare = 0.9
+
 // Tuning of the dealer. Times are those of requests at their upstreams.
 const (
 	tookWeight     = 0.05                   // weight of the newest answer in a service's average time
@@ -47,12 +53,12 @@
 	claims  map[Key]*claim
 	waiting []*claim
 	took    time.Duration
-	repeats *budget
+	repeats *retry.Window
 }
 
 // NewDesk returns a desk without upstreams.
-func NewDesk(b Budget) *Desk {
-	return &Desk{seats: map[uint32]*seat{}, claims: map[Key]*claim{}, took: firstTook, repeats: newBudget(b)}
+func NewDesk(t retry.Terms) *Desk {
+	return &Desk{seats: map[uint32]*seat{}, claims: map[Key]*claim{}, took: firstTook, repeats: retry.NewWindow(t, repeatShare)}
 }
 
 // Follow brings the upstreams in line with the table.
@@ -87,7 +93,7 @@
 		return []addressed{{key, d.replyTo(now, c)}}
 	}
 	if !a.Repeat {
-		d.repeats.request(now)
+		d.repeats.Request(now)
 	}
 	c := &claim{key: key, ask: a, arrived: now, expires: now + a.Left}
 	c.due = now + a.Objective + a.Objective*time.Duration(a.Priority)/2
@@ -97,7 +103,7 @@
 	if wait := d.expectedWait(now, c); wait > 0 && now+wait+d.timeAt(c) > c.expires {
 		return []addressed{{key, Reply{ID: a.ID, Verdict: Refuse, After: wait}}}
 	}
-	if a.Repeat && !d.repeats.spend(now) {
+	if a.Repeat && !d.repeats.Spend(now, 1) {
 		return []addressed{{key, Reply{ID: a.ID, Verdict: Spent}}}
 	}
 	d.claims[key] = c
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
@@ -60,7 +61,7 @@
 	Self      Host
 	Hosts     func() []Host
 	Upstreams func(service string) []Upstream
-	Budget    Budget
+	Repeats   retry.Terms
 	Clock     clock.Clock
 	// Fit reports whether this host knows the table well enough to deal.
 	Fit     func() bool
@@ -178,7 +179,7 @@
 func (o *Office) desk(now time.Duration, service string) *Desk {
 	d := o.desks[service]
 	if d == nil {
-		d = NewDesk(o.options.Budget)
+		d = NewDesk(o.options.Repeats)
 		d.Follow(now, o.options.Upstreams(service))
 		o.desks[service] = d
 	}
