admit: a wait that was long because requests take longer than first thought is no sign of overtaking

Cause: the slowness that a queue learns compared waits with what was expected while the service time was still the initial 5 ms, and went up to 20 times, so that requests were turned away that had 1.8 s for 0.2 s of waiting. daemon: the test of complaints reads standard output, where logs go now

--- a/internal/entry/admit/queue.go
+++ b/internal/entry/admit/queue.go
@@ -22,6 +22,7 @@
 	payload  any
 	queuedAt time.Duration
 	expected time.Duration
+	average  time.Duration
 }
 
 // NewTicket returns a request's ticket; the payload is handed back with it.
@@ -97,7 +98,7 @@
 		q.busy++
 		return Start, nil
 	}
-	t.queuedAt, t.expected = now, q.expectedWait(t)
+	t.queuedAt, t.expected, t.average = now, q.expectedWait(t), q.average
 	if now+time.Duration(float64(t.expected)*q.lines[t.class].slowness)+q.average > t.deadline {
 		return Shed, nil
 	}
@@ -248,7 +249,7 @@
 			a.tickets = a.tickets[1:]
 			l.count--
 			q.waiting--
-			l.learn(now, t)
+			l.learn(now, t, q.average)
 			if now+q.average/2 > t.deadline {
 				late = append(late, t)
 				continue
@@ -262,8 +263,10 @@
 	return nil, late
 }
 
-// learn compares a wait that has ended with what was expected of it.
-func (l *line) learn(now time.Duration, t *Ticket) {
-	ratio := float64(now-t.queuedAt) / float64(max(t.expected, time.Microsecond))
+// learn compares a wait that has ended with what was expected of it. What was expected is corrected by what the service time has
+// turned out to be meanwhile: a wait that was long because requests take longer than thought is no sign of overtaking.
+func (l *line) learn(now time.Duration, t *Ticket, average time.Duration) {
+	expected := float64(t.expected) * max(float64(average)/float64(max(t.average, time.Microsecond)), 1)
+	ratio := float64(now-t.queuedAt) / max(expected, float64(time.Microsecond))
 	l.slowness += slownessWeight * (min(max(ratio, 1), mostSlowness) - l.slowness)
 }
--- a/internal/ops/daemon/complaints_test.go
+++ b/internal/ops/daemon/complaints_test.go
@@ -19,10 +19,10 @@
 	file := filepath.Join(c.TempDir(), "log")
 	out, err := os.Create(file)
 	c.Assert(err, qt.IsNil)
-	stderr := os.Stderr
-	os.Stderr = out
+	stdout := os.Stdout
+	os.Stdout = out
 	log, err := events.New("info", "", "h")
-	os.Stderr = stderr
+	os.Stdout = stdout
 	c.Assert(err, qt.IsNil)
 	d := &Daemon{log: log}
 	server := httptest.NewUnstartedServer(http.NotFoundHandler())
@@ -34,6 +34,7 @@
 		_ = response.Body.Close()
 	}
 	server.Close()
+	log.Sync()
 	text, err := os.ReadFile(file)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(text), qt.Contains, `"event":1101`)
