--- a/internal/entry/admit/queue_test.go
+++ b/internal/entry/admit/queue_test.go
@@ -175,28 +175,24 @@
 	}
 }
 
-// TestSlowRequestsAreNoOvertaking queues requests before it is known how long they take. All can be served in time; that they
-// wait longer than first thought must not make the queue turn later ones away.
+// TestSlowRequestsAreNoOvertaking queues requests before it is known how long they take. That they wait longer than first
+// thought must not make the queue turn away later ones that can be served in time.
 func TestSlowRequestsAreNoOvertaking(t *testing.T) {
-	const took, deadline = 20 * time.Millisecond, 1800 * time.Millisecond
-	q := NewQueue(3, 200)
+	const took, deadline = 100 * time.Millisecond, 1800 * time.Millisecond
+	q := NewQueue(1, 200)
 	now := time.Duration(0)
 	offer := func() {
 		v, _ := q.Offer(now, NewTicket(conf.ClassNormal, "c", now+deadline, nil))
 		qt.Assert(t, v, qt.Not(qt.Equals), Shed, qt.Commentf("at %v with %d waiting", now, q.Waiting()))
 	}
-	for range 20 {
+	for range 17 {
 		offer()
 	}
-	for range 30 {
+	for q.Busy() > 0 {
 		now += took
-		for range 3 {
-			if q.Busy() > 0 {
-				q.Release(now, took)
-			}
-		}
-		for q.Waiting() < 17 {
-			offer()
-		}
+		q.Release(now, took)
+	}
+	for range 5 {
+		offer()
 	}
 }
