--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		if old, ok := memberAt(members, a.identity.Address); ok {
-			if old.ID != g.core.ID() && l.canLose(now, g, members, old) {
+			if old.ID != g.core.ID() && g.canLose(now, members, old.ID) {
 				return members.Without(old.ID), "the host at " + old.Address + " has lost its disk"
 			}
 			continue
@@ -221,7 +221,7 @@
 		}
 		for _, old := range members {
 			gone := old.Voter && old.ID != g.core.ID() && !g.core.HeardWithin(now, old.ID, deadTime)
-			if gone && l.canLose(now, g, members, old) {
+			if gone && g.canLose(now, members, old.ID) {
 				g.options.Log.Write(events.MemberReplaced, zap.String("address", old.Address))
 				return members.Without(old.ID), "a voter is gone for long"
 			}
@@ -230,18 +230,6 @@
 	return nil, ""
 }
 
-// canLose reports whether the members that stay are a quorum of live hosts.
-func (l *lead) canLose(now time.Duration, g *Group, members agree.Members, old agree.Replica) bool {
-	rest := members.Without(old.ID)
-	heard := 0
-	for _, m := range rest {
-		if m.Voter && g.core.HeardWithin(now, m.ID, heardPeriod) {
-			heard++
-		}
-	}
-	return rest.Voters() > 0 && heard >= rest.Quorum()
-}
-
 func memberAt(members agree.Members, address string) (found agree.Replica, ok bool) {
 	for _, m := range members {
 		if m.Address == address {
--- a/internal/control/group/members.go
+++ b/internal/control/group/members.go
@@ -83,17 +83,22 @@
 		g.core.Transfer(g.now())
 		return 0, &wire.ErrNoLeader{}
 	}
+	if !g.canLose(g.now(), members, id) {
+		return 0, &oper.ErrRefused{Reason: "the members that would remain are not a quorum of live hosts"}
+	}
+	return g.proposeMembers(members.Without(id))
+}
+
+// canLose reports whether the members that stay without one are a quorum of live hosts.
+func (g *Group) canLose(now time.Duration, members agree.Members, id agree.ReplicaID) bool {
 	rest := members.Without(id)
 	heard := 0
 	for _, m := range rest {
-		if m.Voter && g.core.HeardWithin(g.now(), m.ID, heardPeriod) {
+		if m.Voter && g.core.HeardWithin(now, m.ID, heardPeriod) {
 			heard++
 		}
 	}
-	if heard < rest.Quorum() {
-		return 0, &oper.ErrRefused{Reason: "the members that would remain are not a quorum of live hosts"}
-	}
-	return g.proposeMembers(rest)
+	return rest.Voters() > 0 && heard >= rest.Quorum()
 }
 
 func (g *Group) proposeMembers(next agree.Members) (index uint64, err error) {
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -11,7 +11,6 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
-	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -207,10 +206,8 @@
 // maxTries is how many upstreams that cannot be connected to, or do not hold the key, are passed over for one request.
 const maxTries = 4
 
-// limitsOf returns the limits on callers that are in force.
-func limitsOf(l items.Limits) serve.Limits {
+// Limits returns the limits on callers that are in force.
+func (b *Broker) Limits() serve.Limits {
+	l := b.options.Table.View().Items().Limits()
 	return serve.Limits{HeaderBytes: l.MaxHeaderBytes, BodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
-
-// Limits returns the limits on callers that are in force.
-func (b *Broker) Limits() serve.Limits { return limitsOf(b.options.Table.View().Items().Limits()) }
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
@@ -118,19 +119,13 @@
 
 // loadOf returns what an answer tells of the upstream's load.
 func (d Dialect) loadOf(h http.Header) (running, waiting, slots int, ok bool) {
-	text := h.Get(d.Load)
-	if text == "" {
+	parts := strings.SplitN(h.Get(d.Load), ",", 4)
+	if len(parts) < 3 {
 		return 0, 0, 0, false
 	}
 	numbers := [3]int{}
 	for i := range numbers {
-		part := text
-		if cut := indexComma(text); cut >= 0 {
-			part, text = text[:cut], text[cut+1:]
-		} else {
-			text = ""
-		}
-		n, err := strconv.Atoi(part)
+		n, err := strconv.Atoi(parts[i])
 		if err != nil || n < 0 {
 			return 0, 0, 0, false
 		}
@@ -138,12 +133,3 @@
 	}
 	return numbers[0], numbers[1], numbers[2], true
 }
-
-func indexComma(s string) int {
-	for i := range len(s) {
-		if s[i] == ',' {
-			return i
-		}
-	}
-	return -1
-}
