deal: services of many upstreams are divided among dealers; what would just miss its objective waits behind

Cause: with 106 upstreams one dealer was asked 1,300 times a second on 0.16 of a core and 2 Mbit/s, and each freed slot cost time in the square of those who waited. Requests at the margin were begun first and ended late: order by whether 1.3 average times still fit.

--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -25,7 +25,7 @@
 
 // newOffice returns the part that asks dealers for slots, and deals where it is asked.
 func (b *Broker) newOffice() *deal.Office {
-	return deal.New(deal.Options{Self: deal.Host{Name: b.options.Host, Address: b.options.Address}, Clock: b.options.Clock,
+	return deal.New(deal.Options{Self: deal.Host{Name: b.options.Host, Address: b.options.Address, DataCentre: b.options.DataCentre}, Clock: b.options.Clock,
 		Repeats: b.options.Repeats, Hosts: b.dealers, Upstreams: b.seats, Fit: b.options.InTouch,
 		Changed: func(service, dealer string, silent bool) {
 			b.options.Log.Write(events.DealerSilent, zap.String("service", service), zap.String("dealer", dealer), zap.Bool("silent", silent))
@@ -34,7 +34,7 @@
 
 func (b *Broker) dealers() (list []deal.Host) {
 	for _, e := range b.options.Table.View().Entries() {
-		list = append(list, deal.Host{Name: e.Name, Address: e.Address})
+		list = append(list, deal.Host{Name: e.Name, Address: e.Address, DataCentre: e.DataCentre})
 	}
 	return list
 }
@@ -95,7 +95,7 @@
 	b := j.broker
 	now := b.options.Clock()
 	route := j.match.Route
-	slot, err := b.office.Request(ctx, deal.Ask{Service: j.service, Upstream: only, Priority: route.Priority, Left: j.expires - now,
+	slot, err := b.office.Request(ctx, j.service, deal.Ask{Upstream: only, Priority: route.Priority, Left: j.expires - now,
 		Objective: max(route.Objective-(now-j.arrived), 0), DataCentre: b.options.DataCentre, Avoid: b.avoided(now, j), Repeat: j.sends > 0})
 	j.waited += b.options.Clock() - now
 	var refused *deal.ErrRefused
--- a/internal/entry/deal/ask.go
+++ b/internal/entry/deal/ask.go
@@ -1,7 +1,10 @@
 package deal
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -9,7 +12,7 @@
 type Slot struct {
 	office   *Office
 	dealer   string
-	service  string
+	part     Part
 	id       uint64
 	Upstream uint32
 }
@@ -23,23 +26,80 @@
 // Error returns the message.
 func (e *ErrRefused) Error() string { return "no slot in time" }
 
-// Request asks for a slot and waits for it. Without a dealer that answers it returns ErrNoDealer.
-func (o *Office) Request(ctx context.Context, a Ask) (s *Slot, err error) {
+// partsTried is how many parts of a service a request looks for a free slot in before it queues.
+const partsTried = 3
+
+// Request asks for a slot of a service and waits for it. Without a dealer that answers it returns ErrNoDealer.
+func (o *Office) Request(ctx context.Context, service string, a Ask) (s *Slot, err error) {
+	list := o.options.Upstreams(service)
+	division := Divide(service, list)
+	expires := o.options.Clock() + a.Left
+	if a.Upstream != 0 {
+		i := slices.IndexFunc(list, func(u Upstream) bool { return u.Number == a.Upstream })
+		if i < 0 {
+			return nil, &ErrNoDealer{}
+		}
+		return o.requestOf(ctx, division.Of(list[i]), a)
+	}
+	parts := division.order(list, a.DataCentre, a.Avoid, o.hinted, rand.Float64)
+	if len(parts) == 0 {
+		return nil, &ErrRefused{Verdict: Nowhere}
+	}
+	asked := 0
+	for len(parts) > 1 && asked < min(partsTried, len(parts)) && o.hinted(parts[asked]) == 0 {
+		s, err = o.requestOf(ctx, parts[asked], division.forPart(parts[asked], a, list, expires-o.options.Clock(), true))
+		if !goesOn(err) {
+			return s, err
+		}
+		asked++
+	}
+	for _, p := range o.patient(parts) {
+		s, err = o.requestOf(ctx, p, division.forPart(p, a, list, expires-o.options.Clock(), false))
+		if _, none := err.(*ErrNoDealer); !none {
+			return s, err
+		}
+	}
+	return nil, &ErrNoDealer{}
+}
+
+// goesOn reports whether another part of the service is to be asked.
+func goesOn(err error) bool {
+	switch e := err.(type) {
+	case *ErrNoDealer:
+		return true
+	case *ErrRefused:
+		return e.Verdict == Full || e.Verdict == Nowhere
+	}
+	return false
+}
+
+// patient returns the parts in which to queue: the one said to have a free slot first, and another in case nobody deals there.
+func (o *Office) patient(parts []Part) []Part {
+	slices.SortStableFunc(parts, func(a, b Part) int { return cmp.Compare(o.hinted(a), o.hinted(b)) })
+	return parts[:min(len(parts), dealersTried)]
+}
+
+// hinted returns when a part should have a free slot, as far as is known; zero is at once.
+func (o *Office) hinted(p Part) time.Duration {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.hints[p].wait(o.options.Clock())
+}
+
+// requestOf asks the dealer of a part, and the next host if that one says nothing.
+func (o *Office) requestOf(ctx context.Context, p Part, a Ask) (s *Slot, err error) {
 	if o.conn == nil {
 		return nil, &ErrNoDealer{}
 	}
 	o.mutex.Lock()
-	dealers := o.dealers(o.options.Clock(), a.Service)
+	dealers := o.dealers(o.options.Clock(), p)
 	o.mutex.Unlock()
-	for i, h := range dealers {
-		if i >= dealersTried {
-			break
-		}
-		s, err = o.requestAt(ctx, h, a)
+	for _, h := range dealers {
+		s, err = o.requestAt(ctx, h, p, a)
 		if _, none := err.(*ErrNoDealer); !none {
 			return s, err
 		}
-		o.passOver(a.Service, h)
+		o.passOver(p.Service, h)
 	}
 	return nil, &ErrNoDealer{}
 }
@@ -54,8 +114,15 @@
 	}
 }
 
+// hint notes when a part should have a free slot; the mutex must not be held.
+func (o *Office) hint(p Part, after time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.hints[p] = hint{after: after, at: o.options.Clock()}
+}
+
 // requestAt asks one dealer, again and again while the request waits there.
-func (o *Office) requestAt(ctx context.Context, h Host, a Ask) (s *Slot, err error) {
+func (o *Office) requestAt(ctx context.Context, h Host, p Part, a Ask) (s *Slot, err error) {
 	expires := o.options.Clock() + a.Left
 	o.mutex.Lock()
 	o.nextID++
@@ -64,7 +131,7 @@
 	o.pending[a.ID] = w
 	o.mutex.Unlock()
 	defer o.forget(a.ID)
-	o.post(h, a)
+	o.post(h, p, a)
 	heard, asked := o.options.Clock(), firstResend
 	timer := time.NewTimer(asked)
 	defer timer.Stop()
@@ -74,45 +141,47 @@
 			heard = o.options.Clock()
 			switch r.Verdict {
 			case Go:
-				return &Slot{office: o, dealer: h.Address, service: a.Service, id: a.ID, Upstream: r.Upstream}, nil
+				return &Slot{office: o, dealer: h.Address, part: p, id: a.ID, Upstream: r.Upstream}, nil
 			case Elsewhere:
 				return nil, &ErrNoDealer{}
 			case Wait:
+				o.hint(p, r.After)
 				asked = askPeriod
 				timer.Reset(asked)
 				continue
 			}
+			o.hint(p, r.After)
 			return nil, &ErrRefused{Verdict: r.Verdict, After: r.After}
 		case <-ctx.Done():
-			o.finish(h.Address, a.Service, Result{ID: a.ID, Fate: Abandoned})
+			o.finish(h.Address, p, Result{ID: a.ID, Fate: Abandoned})
 			return nil, ctx.Err()
 		case <-timer.C:
 			now := o.options.Clock()
 			if now-heard > dealerPeriod+asked {
-				o.finish(h.Address, a.Service, Result{ID: a.ID, Fate: Abandoned})
+				o.finish(h.Address, p, Result{ID: a.ID, Fate: Abandoned})
 				return nil, &ErrNoDealer{}
 			}
 			a.Left = expires - now
-			o.post(h, a)
+			o.post(h, p, a)
 			timer.Reset(asked)
 		}
 	}
 }
 
 // post brings an ask to a dealer, which may be this host.
-func (o *Office) post(h Host, a Ask) {
+func (o *Office) post(h Host, part Part, a Ask) {
 	now := o.options.Clock()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if h.Address == o.options.Self.Address {
 		if !o.options.Fit() {
-			o.deliver(a.Service, []addressed{{Key{Host: h.Address, ID: a.ID}, Reply{ID: a.ID, Verdict: Elsewhere}}})
+			o.deliver(part, []addressed{{Key{Host: h.Address, ID: a.ID}, Reply{ID: a.ID, Verdict: Elsewhere}}})
 			return
 		}
-		o.deliver(a.Service, o.desk(now, a.Service).Offer(now, h.Address, a))
+		o.deliver(part, o.desk(now, part).Offer(now, h.Address, a))
 		return
 	}
-	o.send(h.Address, a.Service, func(p *packet) { p.Asks = append(p.Asks, a) })
+	o.send(h.Address, part, func(p *packet) { p.Asks = append(p.Asks, a) })
 }
 
 func (o *Office) forget(id uint64) {
@@ -122,20 +191,20 @@
 }
 
 // finish brings a result to a dealer.
-func (o *Office) finish(dealer, service string, r Result) {
+func (o *Office) finish(dealer string, part Part, r Result) {
 	now := o.options.Clock()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if dealer == o.options.Self.Address {
-		o.deliver(service, o.desk(now, service).Finish(now, dealer, r))
+		o.deliver(part, o.desk(now, part).Finish(now, dealer, r))
 		return
 	}
-	o.unacked[r.ID] = &unacked{to: dealer, service: service, result: r, at: now}
-	o.later(dealer, service, resultDelay, func(p *packet) { p.Results = append(p.Results, r) })
+	o.unacked[r.ID] = &unacked{to: dealer, part: part, result: r, at: now}
+	o.later(dealer, part, resultDelay, func(p *packet) { p.Results = append(p.Results, r) })
 }
 
 // Finish gives the slot back with how the request fared.
 func (s *Slot) Finish(r Result) {
 	r.ID = s.id
-	s.office.finish(s.dealer, s.service, r)
+	s.office.finish(s.dealer, s.part, r)
 }
--- a/internal/entry/deal/desk.go
+++ b/internal/entry/deal/desk.go
@@ -15,6 +15,7 @@
 const (
 	tookWeight     = 0.05                   // weight of the newest answer in a service's average time
 	paceWeight     = 0.15                   // weight of the newest answer in an upstream's pace
+	tookMargin     = 1.3                    // a request is counted to take so many times the average, as works and paces differ
 	slowestPace    = 6.0                    // an upstream is not counted as slower than so many times the average
 	doubtWeight    = 0.12                   // weight of the newest answer in an upstream's doubt
 	doubtLife      = 4 * time.Second        // doubt without news halves in this time
@@ -46,7 +47,7 @@
 	seat    *seat
 }
 
-// Desk deals the slots of one service. It has no clock and no lock of its own; each method returns the replies that follow.
+// Desk deals the slots of one part of a service. It has no clock and no lock of its own; each method returns the replies that follow.
 type Desk struct {
 	seats   map[uint32]*seat
 	order   []uint32
@@ -54,6 +55,7 @@
 	waiting []*claim
 	took    time.Duration
 	repeats *retry.Window
+	portion float64
 }
 
 // NewDesk returns a desk without upstreams.
@@ -61,8 +63,9 @@
 	return &Desk{seats: map[uint32]*seat{}, claims: map[Key]*claim{}, took: firstTook, repeats: retry.NewWindow(t, repeatShare)}
 }
 
-// Follow brings the upstreams in line with the table.
-func (d *Desk) Follow(now time.Duration, list []Upstream) (replies []addressed) {
+// Follow brings the upstreams in line with the table. Portion is this part's portion of the service's base for repeats.
+func (d *Desk) Follow(now time.Duration, list []Upstream, portion float64) (replies []addressed) {
+	d.portion = portion
 	known := map[uint32]bool{}
 	for _, u := range list {
 		known[u.Number] = true
@@ -92,22 +95,26 @@
 	if c := d.claims[key]; c != nil {
 		return []addressed{{key, d.replyTo(now, c)}}
 	}
-	if !a.Repeat {
-		d.repeats.Request(now)
-	}
 	c := &claim{key: key, ask: a, arrived: now, expires: now + a.Left}
 	c.due = now + a.Objective + a.Objective*time.Duration(a.Priority)/2
 	if !d.possible(c) {
 		return []addressed{{key, Reply{ID: a.ID, Verdict: Nowhere}}}
 	}
-	if wait := d.expectedWait(now, c); wait > 0 && now+wait+d.timeAt(c) > c.expires {
+	wait := d.expectedWait(now, c)
+	if a.Hurry && (wait > 0 || d.choose(d.newCosts(now), c, 0) == nil) {
+		return []addressed{{key, Reply{ID: a.ID, Verdict: Full, After: max(wait, d.nextFree())}}}
+	}
+	if !a.Repeat {
+		d.repeats.Request(now)
+	}
+	if wait > 0 && now+wait+d.timeAt(c) > c.expires {
 		return []addressed{{key, Reply{ID: a.ID, Verdict: Refuse, After: wait}}}
 	}
-	if a.Repeat && !d.repeats.Spend(now, 1) {
+	if a.Repeat && !d.repeats.Spend(now, d.portion) {
 		return []addressed{{key, Reply{ID: a.ID, Verdict: Spent}}}
 	}
 	d.claims[key] = c
-	d.waiting = append(d.waiting, c)
+	d.queue(c)
 	replies = d.pump(now)
 	if c.seat == nil && d.claims[key] == c {
 		replies = append(replies, addressed{key, d.replyTo(now, c)})
@@ -115,6 +122,18 @@
 	return replies
 }
 
+// nextFree estimates when the next of all slots ends its request.
+func (d *Desk) nextFree() time.Duration {
+	slots := 0
+	for _, s := range d.seats {
+		slots += s.limit()
+	}
+	return d.took / time.Duration(max(slots, 1))
+}
+
+// Idle reports whether the desk has neither upstreams nor requests, so that it may be forgotten.
+func (d *Desk) Idle() bool { return len(d.seats)+len(d.claims) == 0 }
+
 // replyTo returns what holds for a claim now.
 func (d *Desk) replyTo(now time.Duration, c *claim) Reply {
 	if c.seat != nil {
@@ -138,12 +157,10 @@
 
 // Tick refuses what can no longer be served in time and frees the slots of requests that were never heard of again.
 func (d *Desk) Tick(now time.Duration) (replies []addressed) {
-	for _, c := range slices.Clone(d.waiting) {
-		wait := d.expectedWait(now, c)
-		if now+d.timeAt(c)/2 > c.expires || now+wait > c.expires {
-			d.drop(c)
-			replies = append(replies, addressed{c.key, Reply{ID: c.key.ID, Verdict: Refuse, After: wait}})
-		}
+	list, waits := d.hopeless(now)
+	for i, c := range list {
+		d.drop(c)
+		replies = append(replies, addressed{c.key, Reply{ID: c.key.ID, Verdict: Refuse, After: waits[i]}})
 	}
 	for _, c := range d.claims {
 		if c.seat != nil && now > c.expires+expiryGrace {
@@ -163,7 +180,7 @@
 		c.seat.busy = max(c.seat.busy-1, 0)
 		return
 	}
-	d.waiting = slices.DeleteFunc(d.waiting, func(o *claim) bool { return o == c })
+	d.unqueue(c)
 }
 
 // learn takes the result into what is known of the upstream.
@@ -202,6 +219,9 @@
 
 // cutOff reports whether several entry hosts could not connect to the upstream lately.
 func (s *seat) cutOff(now time.Duration) bool {
+	if len(s.unreached) == 0 {
+		return false
+	}
 	n := 0
 	for host, until := range s.unreached {
 		if now >= until {
--- a/internal/entry/deal/desk_test.go
+++ b/internal/entry/deal/desk_test.go
@@ -21,12 +21,12 @@
 
 func newDesk(list []Upstream) *Desk {
 	d := NewDesk(retry.Terms{Share: 0.2, Base: 10, Window: 10 * time.Second})
-	d.Follow(0, list)
+	d.Follow(0, list, 1)
 	return d
 }
 
 func ask(id uint64) Ask {
-	return Ask{ID: id, Service: "s", Priority: 1, Left: 2 * time.Second, Objective: time.Second, DataCentre: "d"}
+	return Ask{ID: id, Priority: 1, Left: 2 * time.Second, Objective: time.Second, DataCentre: "d"}
 }
 
 // verdictOf returns what the replies say of a request.
@@ -161,7 +161,7 @@
 	c := qt.New(t)
 	b := retry.Terms{Share: 0.2, Base: 10, Window: 10 * time.Second}
 	d := NewDesk(b)
-	d.Follow(0, seats(1000))
+	d.Follow(0, seats(1000), 1)
 	random := rand.New(rand.NewPCG(1, 2))
 	var requests, repeats []time.Duration
 	id := uint64(0)
@@ -274,7 +274,7 @@
 	for now := time.Duration(0); now < replayTime+2*time.Second; now += time.Millisecond {
 		for ; next < len(arrivals) && arrivals[next] <= now; next++ {
 			id := uint64(next + 1)
-			a := Ask{ID: id, Service: "s", Priority: 2, Left: replayLeft, Objective: replayObjective, DataCentre: "d"}
+			a := Ask{ID: id, Priority: 2, Left: replayLeft, Objective: replayObjective, DataCentre: "d"}
 			if random.Float64() < l.urgent {
 				a.Priority, urgent[id] = 1, true
 				urgents++
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -1,6 +1,7 @@
 package deal
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -35,7 +36,7 @@
 // packet is one datagram between entry hosts.
 type packet struct {
 	_       struct{} `cbor:",toarray"`
-	Service string
+	Part    Part
 	Asks    []Ask
 	Replies []Reply
 	Results []Result
@@ -51,8 +52,9 @@
 
 // Host is an entry host that may deal.
 type Host struct {
-	Name    string
-	Address string
+	Name       string
+	Address    string
+	DataCentre string
 }
 
 // Options describe an entry host's office. Hosts and Upstreams return what the table says now. Changed hears when a dealer is
@@ -75,11 +77,11 @@
 
 // unacked is a result that its dealer has not confirmed.
 type unacked struct {
-	to      string
-	service string
-	result  Result
-	at      time.Duration
-	tries   int
+	to     string
+	part   Part
+	result Result
+	at     time.Duration
+	tries  int
 }
 
 // Office asks dealers for slots and deals itself where it is asked.
@@ -87,23 +89,24 @@
 	options Options
 	conn    *net.UDPConn
 	mutex   sync.Mutex
-	desks   map[string]*Desk
+	desks   map[Part]*Desk
 	pending map[uint64]*pending
 	unacked map[uint64]*unacked
 	silent  map[string]time.Duration
 	late    map[outKey]*packet
+	hints   map[Part]hint
 	nextID  uint64
 }
 
 // outKey names where results wait to be sent.
 type outKey struct {
-	to      string
-	service string
+	to   string
+	part Part
 }
 
 // New returns an office that is not connected yet.
 func New(o Options) *Office {
-	return &Office{options: o, desks: map[string]*Desk{}, pending: map[uint64]*pending{}, unacked: map[uint64]*unacked{},
+	return &Office{options: o, desks: map[Part]*Desk{}, hints: map[Part]hint{}, pending: map[uint64]*pending{}, unacked: map[uint64]*unacked{},
 		silent: map[string]time.Duration{}, late: map[outKey]*packet{}, nextID: rand.Uint64() >> 16}
 }
 
@@ -160,10 +163,10 @@
 		return
 	}
 	var replies []addressed
-	desk := o.desk(now, p.Service)
+	desk := o.desk(now, p.Part)
 	for _, r := range p.Results {
 		replies = append(replies, desk.Finish(now, from, r)...)
-		o.later(from, p.Service, ackDelay, func(q *packet) { q.Acks = append(q.Acks, r.ID) })
+		o.later(from, p.Part, ackDelay, func(q *packet) { q.Acks = append(q.Acks, r.ID) })
 	}
 	for _, a := range p.Asks {
 		if !o.options.Fit() {
@@ -172,22 +175,29 @@
 		}
 		replies = append(replies, desk.Offer(now, from, a)...)
 	}
-	o.deliver(p.Service, replies)
+	o.deliver(p.Part, replies)
 }
 
-// desk returns the desk of a service with its upstreams as the table has them; the mutex must be held.
-func (o *Office) desk(now time.Duration, service string) *Desk {
-	d := o.desks[service]
+// desk returns the desk of a part with its upstreams as the table has them; the mutex must be held.
+func (o *Office) desk(now time.Duration, p Part) *Desk {
+	d := o.desks[p]
 	if d == nil {
 		d = NewDesk(o.options.Repeats)
-		d.Follow(now, o.options.Upstreams(service))
-		o.desks[service] = d
+		o.follow(now, p, d)
+		o.desks[p] = d
 	}
 	return d
 }
 
+// follow brings a desk in line with the table.
+func (o *Office) follow(now time.Duration, p Part, d *Desk) []addressed {
+	list := o.options.Upstreams(p.Service)
+	division := Divide(p.Service, list)
+	return d.Follow(now, division.Members(p, list), 1/float64(max(division.Count(), 1)))
+}
+
 // deliver brings replies to their askers, here or elsewhere; the mutex must be held.
-func (o *Office) deliver(service string, replies []addressed) {
+func (o *Office) deliver(part Part, replies []addressed) {
 	byHost := map[string][]Reply{}
 	for _, a := range replies {
 		if a.key.Host == o.options.Self.Address {
@@ -202,16 +212,16 @@
 		byHost[a.key.Host] = append(byHost[a.key.Host], a.reply)
 	}
 	for host, list := range byHost {
-		o.send(host, service, func(p *packet) { p.Replies = list })
+		o.send(host, part, func(p *packet) { p.Replies = list })
 	}
 }
 
 // send sends a datagram at once, with what waits for the same host; the mutex must be held.
-func (o *Office) send(to, service string, add func(*packet)) {
-	key := outKey{to: to, service: service}
+func (o *Office) send(to string, part Part, add func(*packet)) {
+	key := outKey{to: to, part: part}
 	p := o.late[key]
 	if p == nil {
-		p = &packet{Service: service}
+		p = &packet{Part: part}
 	}
 	delete(o.late, key)
 	add(p)
@@ -231,11 +241,11 @@
 }
 
 // later adds to what is sent to a host a little later, so that several go together; the mutex must be held.
-func (o *Office) later(to, service string, delay time.Duration, add func(*packet)) {
-	key := outKey{to: to, service: service}
+func (o *Office) later(to string, part Part, delay time.Duration, add func(*packet)) {
+	key := outKey{to: to, part: part}
 	p := o.late[key]
 	if p == nil {
-		p = &packet{Service: service}
+		p = &packet{Part: part}
 		o.late[key] = p
 	}
 	add(p)
@@ -276,9 +286,9 @@
 	now := o.options.Clock()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	for service, d := range o.desks {
+	for part, d := range o.desks {
 		if busy, waiting := d.Load(); busy+waiting > 0 {
-			o.deliver(service, d.Tick(now))
+			o.deliver(part, d.Tick(now))
 		}
 	}
 	for id, u := range o.unacked {
@@ -290,7 +300,7 @@
 			continue
 		}
 		u.at = now
-		o.later(u.to, u.service, resultDelay, func(p *packet) { p.Results = append(p.Results, u.result) })
+		o.later(u.to, u.part, resultDelay, func(p *packet) { p.Results = append(p.Results, u.result) })
 	}
 }
 
@@ -310,27 +320,34 @@
 	now := o.options.Clock()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	for service, d := range o.desks {
-		o.deliver(service, d.Follow(now, o.options.Upstreams(service)))
+	for part, d := range o.desks {
+		o.deliver(part, o.follow(now, part, d))
+		if d.Idle() {
+			delete(o.desks, part)
+		}
+	}
+	for part, h := range o.hints {
+		if now-h.at > hintLife {
+			delete(o.hints, part)
+		}
 	}
 }
 
-// dealers returns the hosts to ask for a service's slots, the first choice first; hosts that said nothing lately come last.
-func (o *Office) dealers(now time.Duration, service string) (list []Host) {
+// dealers returns the hosts to ask for a part's slots, the first choice first: hosts of the part's data centre, where there are
+// any, and last those that said nothing lately. The mutex must be held.
+func (o *Office) dealers(now time.Duration, p Part) (list []Host) {
 	list = slices.Clone(o.options.Hosts())
-	name := slice.HashKey(service)
-	score := func(h Host) uint64 { return slice.Mix(slice.HashKey(h.Name) ^ name) }
-	slices.SortFunc(list, func(a, b Host) int {
-		if x, y := now < o.silent[a.Address], now < o.silent[b.Address]; x != y {
-			if x {
-				return 1
-			}
-			return -1
-		}
-		if score(a) > score(b) {
-			return -1
+	if p.DataCentre != "" && slices.ContainsFunc(list, func(h Host) bool { return h.DataCentre == p.DataCentre }) {
+		list = slices.DeleteFunc(list, func(h Host) bool { return h.DataCentre != p.DataCentre })
+	}
+	place := p.hash()
+	scores := map[string]uint64{}
+	for _, h := range list {
+		scores[h.Address] = slice.Mix(slice.HashKey(h.Name)^place) >> 1
+		if now < o.silent[h.Address] {
+			scores[h.Address] |= 1 << 63
 		}
-		return 1
-	})
-	return list
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(scores[a.Address], scores[b.Address]) })
+	return list[:min(len(list), dealersTried)]
 }
--- a/internal/entry/deal/office_test.go
+++ b/internal/entry/deal/office_test.go
@@ -46,7 +46,7 @@
 
 // dealerOf returns the office that all ask first for the service.
 func dealerOf(offices []*office) *office {
-	first := offices[0].dealers(0, "s")[0]
+	first := offices[0].dealers(0, Part{Service: "s"})[0]
 	for _, o := range offices {
 		if o.options.Self == first {
 			return o
@@ -66,18 +66,18 @@
 }
 
 func wish() Ask {
-	return Ask{Service: "s", Priority: 1, Left: 3 * time.Second, Objective: time.Second, DataCentre: "d"}
+	return Ask{Priority: 1, Left: 3 * time.Second, Objective: time.Second, DataCentre: "d"}
 }
 
 // TestOneDealerForAll holds that slots are shared by all hosts, and that one that waits gets the slot that another gives back.
 func TestOneDealerForAll(t *testing.T) {
 	offices := newOffices(t, 3, seats(1))
 	ctx := context.Background()
-	first, err := offices[0].Request(ctx, wish())
+	first, err := offices[0].Request(ctx, "s", wish())
 	qt.Assert(t, err, qt.IsNil)
 	got := make(chan *Slot, 1)
 	go func() {
-		s, err := offices[1].Request(ctx, wish())
+		s, err := offices[1].Request(ctx, "s", wish())
 		qt.Check(t, err, qt.IsNil)
 		got <- s
 	}()
@@ -90,7 +90,7 @@
 	s := <-got
 	qt.Assert(t, s.Upstream, qt.Equals, uint32(1))
 	s.Finish(Result{Fate: Answered, Took: time.Millisecond})
-	third, err := offices[2].Request(ctx, wish())
+	third, err := offices[2].Request(ctx, "s", wish())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, third.dealer, qt.Equals, dealerOf(offices).options.Self.Address)
 }
@@ -102,7 +102,7 @@
 	dealer := dealerOf(offices)
 	dealer.unfit.Store(true)
 	for _, o := range offices {
-		s, err := o.Request(context.Background(), wish())
+		s, err := o.Request(context.Background(), "s", wish())
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, s.dealer, qt.Not(qt.Equals), dealer.options.Self.Address)
 	}
@@ -114,7 +114,7 @@
 	_ = dealerOf(offices).conn.Close()
 	asker := others(offices)[0]
 	for range 3 {
-		s, err := asker.Request(context.Background(), wish())
+		s, err := asker.Request(context.Background(), "s", wish())
 		qt.Assert(t, err, qt.IsNil)
 		s.Finish(Result{Fate: Answered, Took: time.Millisecond})
 	}
@@ -126,7 +126,7 @@
 	for _, o := range offices {
 		o.unfit.Store(true)
 	}
-	_, err := offices[0].Request(context.Background(), wish())
+	_, err := offices[0].Request(context.Background(), "s", wish())
 	var none *ErrNoDealer
 	qt.Assert(t, errors.As(err, &none), qt.IsTrue)
 }
@@ -135,23 +135,23 @@
 func TestCallerThatGoesGivesItsSlotBack(t *testing.T) {
 	offices := newOffices(t, 2, seats(1))
 	asker := others(offices)[0]
-	first, err := asker.Request(context.Background(), wish())
+	first, err := asker.Request(context.Background(), "s", wish())
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err = asker.Request(ctx, wish())
+	_, err = asker.Request(ctx, "s", wish())
 	qt.Assert(t, err, qt.Equals, context.DeadlineExceeded)
 	first.Finish(Result{Fate: Answered, Took: time.Millisecond})
-	again, err := asker.Request(context.Background(), wish())
+	again, err := asker.Request(context.Background(), "s", wish())
 	qt.Assert(t, err, qt.IsNil)
 	again.Finish(Result{Fate: Answered, Took: time.Millisecond})
 }
 
-func TestRefusalComesFromTheDealer(t *testing.T) {
+func TestRefusedWhereNoUpstreamMayRunIt(t *testing.T) {
 	offices := newOffices(t, 2, seats(1))
 	only := wish()
 	only.Avoid = []uint32{1}
-	_, err := others(offices)[0].Request(context.Background(), only)
+	_, err := others(offices)[0].Request(context.Background(), "s", only)
 	var refused *ErrRefused
 	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
 	qt.Assert(t, refused.Verdict, qt.Equals, Nowhere)
--- /dev/null
+++ b/internal/entry/deal/parts.go
@@ -0,0 +1,148 @@
+package deal
+
+import (
+	"slices"
+	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/slice"
+)
+
+// Sizes of parts.
+const (
+	wholeSize = 36 // upstreams of a service up to which one dealer has them all; its slots are then shared without loss
+	partSize  = 24 // upstreams for which one dealer is enough: about 500 requests a second of 150 ms, 0.05 of a core
+)
+
+// Part names those upstreams of a service that have a dealer of their own. DataCentre is empty where one dealer has them all.
+type Part struct {
+	_          struct{} `cbor:",toarray"`
+	Service    string
+	DataCentre string
+	Index      uint16
+}
+
+// hash places the part among hosts.
+func (p Part) hash() uint64 {
+	return slice.Mix(slice.HashKey(p.Service)^slice.Mix(slice.HashKey(p.DataCentre)+uint64(p.Index))) | 1
+}
+
+// Division says which part each upstream of a service belongs to. It follows from the list alone, so that hosts with the same
+// table divide alike; a part's count is a power of two, so that one upstream more or less seldom changes it.
+type Division struct {
+	service string
+	counts  map[string]uint16
+	total   int
+}
+
+// Divide returns the division of a service's upstreams.
+func Divide(service string, list []Upstream) Division {
+	d := Division{service: service}
+	if len(list) <= wholeSize {
+		d.total = 1
+		return d
+	}
+	d.counts = map[string]uint16{}
+	for _, u := range list {
+		d.counts[u.DataCentre]++
+	}
+	for name, n := range d.counts {
+		parts := uint16(1)
+		for int(parts)*partSize < int(n) {
+			parts *= 2
+		}
+		d.counts[name] = parts
+		d.total += int(parts)
+	}
+	return d
+}
+
+// Count returns the number of parts.
+func (d Division) Count() int { return d.total }
+
+// Of returns the part of an upstream.
+func (d Division) Of(u Upstream) Part {
+	if d.counts == nil {
+		return Part{Service: d.service}
+	}
+	count := max(d.counts[u.DataCentre], 1)
+	return Part{Service: d.service, DataCentre: u.DataCentre, Index: uint16(slice.Mix(uint64(u.Number)) % uint64(count))}
+}
+
+// Members returns the upstreams of a part.
+func (d Division) Members(p Part, list []Upstream) []Upstream {
+	return slices.DeleteFunc(slices.Clone(list), func(u Upstream) bool { return d.Of(u) != p })
+}
+
+// forPart returns an ask as one part's dealer gets it.
+func (d Division) forPart(p Part, a Ask, list []Upstream, left time.Duration, hurry bool) Ask {
+	a.Left, a.Hurry = left, hurry
+	if len(a.Avoid) == 0 {
+		return a
+	}
+	var avoid []uint32
+	for _, u := range list {
+		if slices.Contains(a.Avoid, u.Number) && d.Of(u) == p {
+			avoid = append(avoid, u.Number)
+		}
+	}
+	a.Avoid = avoid
+	return a
+}
+
+// hint is what a part's dealer said last about when a slot is free.
+type hint struct {
+	after time.Duration
+	at    time.Duration
+}
+
+// hintLife is how long a dealer's word on its load guides the choice of a part; loads change within a few requests' time.
+const hintLife = 250 * time.Millisecond
+
+// wait returns what is left of the wait that was told, none once it is old.
+func (h hint) wait(now time.Duration) time.Duration {
+	if now-h.at > hintLife {
+		return 0
+	}
+	return max(h.after-(now-h.at), 0)
+}
+
+// order returns the parts that may serve a request in the order in which to ask them: those said to have free slots first, the
+// caller's data centre before others, and at random among equals, by their slots.
+func (d Division) order(list []Upstream, dataCentre string, avoid []uint32, wait func(Part) time.Duration, random func() float64) []Part {
+	slots := map[Part]int{}
+	for _, u := range list {
+		if !u.Leaving && !slices.Contains(avoid, u.Number) {
+			slots[d.Of(u)] += max(u.Slots, 1)
+		}
+	}
+	type entry struct {
+		part Part
+		wait time.Duration
+		far  int
+		draw float64
+	}
+	var entries []entry
+	for p, n := range slots {
+		e := entry{part: p, wait: wait(p), draw: random() / float64(n)}
+		if p.DataCentre != "" && p.DataCentre != dataCentre {
+			e.far = 1
+		}
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		switch {
+		case a.wait != b.wait:
+			return int(a.wait - b.wait)
+		case a.far != b.far:
+			return a.far - b.far
+		case a.draw < b.draw:
+			return -1
+		}
+		return 1
+	})
+	parts := make([]Part, len(entries))
+	for i, e := range entries {
+		parts[i] = e.part
+	}
+	return parts
+}
--- a/internal/entry/deal/types.go
+++ b/internal/entry/deal/types.go
@@ -10,11 +10,12 @@
 	ID   uint64
 }
 
-// Ask is a request's wish for a slot. Upstream names the only one that may run it, zero any of the service.
+// Ask is a request's wish for a slot. Upstream names the only one that may run it, zero any of the part. Hurry asks for a slot that
+// is free now, as other parts may have one; the request is not queued.
 type Ask struct {
 	_          struct{} `cbor:",toarray"`
 	ID         uint64
-	Service    string
+	Hurry      bool
 	Upstream   uint32
 	Priority   int
 	Left       time.Duration
@@ -39,6 +40,8 @@
 	Spent
 	// Nowhere means that the dealer knows no upstream that may run the request.
 	Nowhere
+	// Full means that no slot is free now for a request in a hurry; After is when one should be.
+	Full
 	// Elsewhere means that the host deals no slots now; another one is to be asked.
 	Elsewhere
 )
