conns: connections that upstreams forget before their time are not trusted after as long a rest

Cause: an upstream that forgets an idle connection resets what is sent next; the connection looks sound before, and a request that may not be repeated is then lost as unknown.

--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -91,6 +91,7 @@
 	})
 	a, err = x.run()
 	if err != nil {
+		p.noteBroken(c, err)
 		x.finish(false)
 		if ctx.Err() != nil {
 			return nil, x.failure(ctx.Err())
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -30,6 +30,7 @@
 	key     string
 	idleAt  time.Time
 	idleFor time.Duration
+	rested  time.Duration
 	uses    int
 }
 
@@ -39,6 +40,7 @@
 	idle   map[string][]*Conn
 	dials  int64
 	reuses int64
+	rests  rests
 }
 
 // NewPool returns an empty pool.
@@ -60,8 +62,8 @@
 		if c == nil {
 			return p.dial(ctx, key, address)
 		}
-		rested := time.Since(c.idleAt)
-		if rested < min(c.idleFor, maxIdle) && c.quiet() {
+		c.rested = time.Since(c.idleAt)
+		if c.rested < min(c.idleFor, maxIdle) && p.mayRest(c.rested) && c.quiet() {
 			p.mutex.Lock()
 			p.reuses++
 			p.mutex.Unlock()
@@ -145,7 +147,7 @@
 	for key, list := range p.idle {
 		var fresh []*Conn
 		for _, c := range list {
-			if keep(key) && time.Since(c.idleAt) < c.idleFor {
+			if keep(key) && time.Since(c.idleAt) < c.idleFor && p.rests.allow(time.Now(), time.Since(c.idleAt)) {
 				fresh = append(fresh, c)
 			} else {
 				ended = append(ended, c)
