--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -363,3 +363,19 @@
 	next.Fence = 8
 	c.Check(s.holds(staleProbe+2, "s", next), qt.IsFalse)
 }
+
+// TestNothingIsSentToOneThatLeftMeanwhile holds that a request is withdrawn where its upstream's time ran out, or the upstream went,
+// while the connection was made.
+func TestNothingIsSentToOneThatLeftMeanwhile(t *testing.T) {
+	f := newFixture(t, []http.HandlerFunc{answerWell}, nil)
+	j := &job{broker: f.broker}
+	u, _ := f.table.View().Upstream(1)
+	f.c.Assert(j.fits(u), qt.IsNil)
+	left := u
+	left.Leaving = true
+	f.apply(table.Delta{Upstreams: []table.Upstream{left}})
+	time.Sleep(time.Duration(leaveMargin * float64(300*time.Millisecond)))
+	f.c.Check(j.fits(u), qt.ErrorIs, errWithdrawn)
+	f.apply(table.Delta{GoneUpstreams: []uint32{1}})
+	f.c.Check(j.fits(u), qt.ErrorIs, errWithdrawn)
+}
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -20,7 +20,7 @@
 const (
 	parkShare   = 0.6                   // part of the time left for which a key without owner is waited for
 	parkPause   = 60 * time.Millisecond // pause between looks at a key without owner while nothing is told
-	leaveMargin = 0.7                   // part of the time that a leaving upstream may be sent requests which is used; connecting takes the rest
+	leaveMargin = 0.7                   // part of the time that a leaving upstream may be sent requests which is used; news and the way take the rest
 )
 
 // newOffice returns the part that asks dealers for slots, and deals where it is asked.
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -73,7 +73,19 @@
 	header.Set(d.Instance, u.Name)
 	r := j.request.HTTP
 	return &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
-		Body: j.request.Body, IDHeader: d.RequestID, ID: j.id, Idempotent: j.idempotent()}
+		Body: j.request.Body, IDHeader: d.RequestID, ID: j.id, Idempotent: j.idempotent(), Fits: func() error { return j.fits(u) }}
+}
+
+// errWithdrawn is the cause where an upstream's time ran out while a connection to it was made.
+var errWithdrawn = errors.New("the upstream leaves")
+
+// fits reports whether an upstream may still be sent the request; connecting to it may have taken a while.
+func (j *job) fits(u table.Upstream) error {
+	current, ok := j.broker.options.Table.View().Upstream(u.Number)
+	if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {
+		return errWithdrawn
+	}
+	return nil
 }
 
 func (j *job) idempotent() bool { return j.match.Route.Idempotent }
@@ -85,7 +97,7 @@
 	var notSent *conns.ErrNotSent
 	if errors.As(err, &notSent) {
 		v := verdictNotReached
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) {
 			v = verdictAbandoned
 		}
 		j.sends--
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -22,7 +22,8 @@
 	reuseUnsafely = 1500 * time.Millisecond
 )
 
-// Call is one request to an upstream. ID is the value of the header IDHeader, which the answer must repeat.
+// Call is one request to an upstream. ID is the value of the header IDHeader, which the answer must repeat. Fits is asked once the
+// connection is there, just before the first byte is sent; an error withdraws the request.
 type Call struct {
 	Key        string
 	Address    string
@@ -34,6 +35,7 @@
 	IDHeader   string
 	ID         string
 	Idempotent bool
+	Fits       func() error
 }
 
 // Answer is an upstream's answer. Rest holds what is read while it is passed on, nil where Body is whole; End must be called
@@ -84,6 +86,12 @@
 	if err != nil {
 		return nil, &ErrNotSent{Cause: err}
 	}
+	if call.Fits != nil {
+		if err = call.Fits(); err != nil {
+			p.put(c)
+			return nil, &ErrNotSent{Cause: err}
+		}
+	}
 	x := &exchange{pool: p, conn: c, call: call, reused: c.uses > 0}
 	x.stop = context.AfterFunc(ctx, func() {
 		x.interrupted.Store(true)
--- a/internal/entry/deal/ask.go
+++ b/internal/entry/deal/ask.go
@@ -132,13 +132,13 @@
 	o.mutex.Unlock()
 	defer o.forget(a.ID)
 	o.post(h, p, a)
-	heard, asked := o.options.Clock(), firstResend
-	timer := time.NewTimer(asked)
+	unheard := 0
+	timer := time.NewTimer(resendPauses[0])
 	defer timer.Stop()
 	for {
 		select {
 		case r := <-w.replies:
-			heard = o.options.Clock()
+			unheard = -1
 			switch r.Verdict {
 			case Go:
 				return &Slot{office: o, dealer: h.Address, part: p, id: a.ID, Upstream: r.Upstream}, nil
@@ -146,8 +146,7 @@
 				return nil, &ErrNoDealer{}
 			case Wait:
 				o.hint(p, r.After)
-				asked = askPeriod
-				timer.Reset(asked)
+				timer.Reset(askPeriod)
 				continue
 			}
 			o.hint(p, r.After)
@@ -156,14 +155,13 @@
 			o.finish(h.Address, p, Result{ID: a.ID, Fate: Abandoned})
 			return nil, ctx.Err()
 		case <-timer.C:
-			now := o.options.Clock()
-			if now-heard > dealerPeriod+asked {
+			if unheard++; unheard == len(resendPauses) {
 				o.finish(h.Address, p, Result{ID: a.ID, Fate: Abandoned})
 				return nil, &ErrNoDealer{}
 			}
-			a.Left = expires - now
+			a.Left = expires - o.options.Clock()
 			o.post(h, p, a)
-			timer.Reset(asked)
+			timer.Reset(resendPauses[unheard])
 		}
 	}
 }
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,6 @@
 
 // Times of messages between entry hosts.
 const (
-	firstResend  = 25 * time.Millisecond  // a message lost between data centres is sent again after this
-	dealerPeriod = 150 * time.Millisecond // a dealer that says nothing for so long is passed over
 	askPeriod    = 200 * time.Millisecond // a request that waits asks again this often, in case the dealer has gone
 	silentTime   = 1500 * time.Millisecond
 	tickPeriod   = 15 * time.Millisecond
@@ -31,8 +30,13 @@
 	resultTries  = 4
 	maxPacket    = 8 << 10 // bytes
 	dealersTried = 2
+	mostSilent   = 4 // so many silent dealers at once tell that this host's own link is at fault
 )
 
+// resendPauses are how long an ask waits for a reply before it is sent again; a dealer that says nothing after the last is passed
+// over. They grow, as on a link that is full each datagram more makes it worse.
+var resendPauses = [...]time.Duration{25 * time.Millisecond, 50 * time.Millisecond, 85 * time.Millisecond}
+
 // packet is one datagram between entry hosts.
 type packet struct {
 	_       struct{} `cbor:",toarray"`
@@ -93,6 +97,7 @@
 	pending map[uint64]*pending
 	unacked map[uint64]*unacked
 	silent  map[string]time.Duration
+	sent    atomic.Int64
 	late    map[outKey]*packet
 	hints   map[Part]hint
 	nextID  uint64
@@ -237,6 +242,7 @@
 	if err != nil || o.conn == nil {
 		return
 	}
+	o.sent.Add(1)
 	_, _ = o.conn.WriteToUDPAddrPort(data, address) // a lost datagram is sent again by its sender
 }
 
@@ -326,6 +332,11 @@
 			delete(o.desks, part)
 		}
 	}
+	for address, until := range o.silent {
+		if now >= until {
+			delete(o.silent, address)
+		}
+	}
 	for part, h := range o.hints {
 		if now-h.at > hintLife {
 			delete(o.hints, part)
@@ -336,6 +347,9 @@
 // dealers returns the hosts to ask for a part's slots, the first choice first: hosts of the part's data centre, where there are
 // any, and last those that said nothing lately. The mutex must be held.
 func (o *Office) dealers(now time.Duration, p Part) (list []Host) {
+	if o.cutOff(now) {
+		return nil
+	}
 	list = slices.Clone(o.options.Hosts())
 	if p.DataCentre != "" && slices.ContainsFunc(list, func(h Host) bool { return h.DataCentre == p.DataCentre }) {
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.DataCentre != p.DataCentre })
@@ -351,3 +365,14 @@
 	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(scores[a.Address], scores[b.Address]) })
 	return list[:min(len(list), dealersTried)]
 }
+
+// cutOff reports whether so many dealers said nothing lately that this host rather asks nobody; the mutex must be held.
+func (o *Office) cutOff(now time.Duration) bool {
+	n := 0
+	for _, until := range o.silent {
+		if now < until {
+			n++
+		}
+	}
+	return n >= mostSilent
+}
--- a/internal/entry/deal/office_test.go
+++ b/internal/entry/deal/office_test.go
@@ -156,3 +156,39 @@
 	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
 	qt.Assert(t, refused.Verdict, qt.Equals, Nowhere)
 }
+
+// mute returns an office whose dealers are all there and say nothing.
+func mute(t *testing.T, dealers int) *Office {
+	hosts := []Host{{Name: "self", Address: "127.0.0.1:0"}}
+	for i := range dealers {
+		l, err := net.ListenPacket("udp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = l.Close() })
+		hosts = append(hosts, Host{Name: string(rune('a' + i)), Address: l.LocalAddr().String()})
+	}
+	o := New(Options{Self: hosts[0], Hosts: func() []Host { return hosts[1:] }, Upstreams: func(string) []Upstream { return seats(1) },
+		Repeats: retry.Terms{Share: 0.2, Base: 10, Window: 10 * time.Second}, Clock: clock.Boot, Fit: func() bool { return true }})
+	qt.Assert(t, o.Listen(), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = o.Run(ctx) }()
+	return o
+}
+
+// TestSilenceIsNotAnsweredWithMore holds that an ask without reply is sent a few times only, and that a host to which many
+// dealers are silent asks nobody: its own link is full then, and more datagrams would keep it so.
+func TestSilenceIsNotAnsweredWithMore(t *testing.T) {
+	o := mute(t, mostSilent+2)
+	var none *ErrNoDealer
+	for range mostSilent {
+		_, err := o.Request(context.Background(), "s", wish())
+		qt.Assert(t, errors.As(err, &none), qt.IsTrue)
+	}
+	tries := int64(dealersTried * len(resendPauses))
+	results := int64(dealersTried * resultTries)
+	qt.Check(t, o.sent.Load() <= int64(mostSilent/dealersTried)*(tries+results), qt.IsTrue, qt.Commentf("%d datagrams", o.sent.Load()))
+	asked := len(o.pending)
+	_, err := o.Request(context.Background(), "s", wish())
+	qt.Check(t, errors.As(err, &none), qt.IsTrue)
+	qt.Check(t, asked, qt.Equals, 0)
+}
