serve: a stop takes nothing more from connections that always have a request under way

The answers due at the stop are the last; what comes behind is not handled, and its caller sends it again. Test fails before: /2 and /3 were handled.

--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -34,8 +35,10 @@
 	order   chan chan *Answer
 	mutex   sync.Mutex
 	open    int
+	decided bool
 	reading bool
 	closed  bool
+	ignored chan struct{}
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -56,6 +59,9 @@
 	c.read()
 	close(c.order)
 	<-written
+	if c.ignored != nil {
+		<-c.ignored
+	}
 	c.cancel()
 	_ = c.raw.Close()
 }
@@ -65,15 +71,19 @@
 	for {
 		r, bad := c.next()
 		if bad != nil {
-			if bad.answer != nil && c.begin() {
+			switch {
+			case bad.answer != nil && c.begin():
 				c.queue() <- bad.answer
 				c.drainBriefly()
-			} else if !c.isClosed() {
+			case bad.answer != nil:
+				c.ignoreRest()
+			case !c.isClosed():
 				c.cancel()
 			}
 			return
 		}
 		if !c.begin() {
+			c.ignoreRest()
 			return
 		}
 		ended := r.HTTP.Close || !r.HTTP.ProtoAtLeast(1, 1)
@@ -124,19 +134,41 @@
 	return slot
 }
 
-// begin counts a request that was read, unless the connection has ended with the answer before it: the request then counts
-// as not read, and its caller sends it again.
+// begin counts a request that was read, unless the connection ends with an answer before it: the request then counts as not
+// read, and its caller sends it again. While the server stops, the answers that are still due are the last.
 func (c *conn) begin() bool {
+	stopping := c.server.Stopping()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.reading = false
-	if c.closed {
+	due := c.open
+	if c.decided {
+		due--
+	}
+	if c.closed || stopping && due > 0 {
 		return false
 	}
 	c.open++
 	return true
 }
 
+// ignoreRest reads on behind the last request that is taken in, so that the caller's end is seen and closing resets nothing.
+func (c *conn) ignoreRest() {
+	c.ignored = make(chan struct{})
+	c.limited.left = math.MaxInt64
+	_ = c.raw.SetReadDeadline(time.Time{})
+	if c.isClosed() {
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+	}
+	go func() {
+		defer close(c.ignored)
+		_, _ = io.Copy(io.Discard, c.reader)
+		if !c.isClosed() {
+			c.cancel()
+		}
+	}()
+}
+
 // endsWith reports whether the connection ends with the answer that is about to be written: because the answer says so, or
 // because the server stops and no request behind it was read.
 func (c *conn) endsWith(a *Answer) bool {
@@ -146,6 +178,7 @@
 	if a.Close || stopping && c.open == 1 {
 		c.closed = true
 	}
+	c.decided = !c.closed
 	return c.closed
 }
 
@@ -153,6 +186,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.open--
+	c.decided = false
 }
 
 // closeIfIdle closes a connection that waits for its next request, and reports whether it did.
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -200,6 +200,29 @@
 	f.c.Assert(<-stopped, qt.IsNil)
 }
 
+// TestStopTakesNothingMoreFromBusyConnections holds that a request that comes behind others while the server stops is not handled:
+// the connection ends with the answer before it, so that a caller who always has one more under way does not outlive the stop.
+func TestStopTakesNothingMoreFromBusyConnections(t *testing.T) {
+	started, finish := make(chan string, 4), make(chan struct{})
+	f := newFixture(t, func(_ context.Context, r *Request) *Answer {
+		started <- r.HTTP.URL.Path
+		<-finish
+		return Text(http.StatusOK, r.HTTP.URL.Path)
+	})
+	busy := f.dial()
+	busy.send(get("/1"))
+	<-started
+	f.server.Retire()
+	busy.send(get("/2") + get("/3"))
+	time.Sleep(50 * time.Millisecond)
+	close(finish)
+	status, body, closes := busy.answer()
+	f.c.Assert([]any{status, body, closes}, qt.DeepEquals, []any{200, "/1\n", true})
+	status, _, _ = busy.answer()
+	f.c.Assert(status, qt.Equals, 0)
+	f.c.Assert(started, qt.HasLen, 0)
+}
+
 // TestLongAnswers holds that answers with a rest are written whole, with a length or in chunks, and that one that breaks off
 // never looks whole.
 func TestLongAnswers(t *testing.T) {
