broker: each host bounds its repeats by its own requests, whoever deals; status: items behind by host

Ruled out: hosts that decide alone (few). Each host now keeps its repeats within its own requests and its portion of the base, so that the sum holds.

--- a/internal/control/group/status.go
+++ b/internal/control/group/status.go
@@ -44,8 +44,10 @@
 func (g *Group) statusEntries(l *lead, answer *oper.StatusAnswer) {
 	now := g.now()
 	for _, e := range g.state.Entries() {
-		answer.Entries = append(answer.Entries, oper.EntryStatus{Name: e.Name, Address: e.Address, DataCentre: e.DataCentre,
-			Live: l.keeper.EntryLive(now, e.Name), Applied: l.keeper.EntryApplied(e.Name)})
+		s := oper.EntryStatus{Name: e.Name, Address: e.Address, DataCentre: e.DataCentre,
+			Live: l.keeper.EntryLive(now, e.Name), Applied: l.keeper.EntryApplied(e.Name)}
+		s.Behind, s.All = g.itemsBehind(s.Applied)
+		answer.Entries = append(answer.Entries, s)
 	}
 	for _, e := range l.lost {
 		answer.Entries = append(answer.Entries, oper.EntryStatus{Name: e.host.Name, Address: e.host.Address,
@@ -54,6 +56,16 @@
 	slices.SortFunc(answer.Entries, func(a, b oper.EntryStatus) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// itemsBehind returns the items whose newest version a host at a table version does not have yet.
+func (g *Group) itemsBehind(applied uint64) (list []oper.ItemVersion, all bool) {
+	keys, known := g.state.ItemsBehind(applied)
+	for _, k := range keys[:min(len(keys), oper.MaxBehind)] {
+		i, _ := g.state.Items().Get(k)
+		list = append(list, oper.ItemVersion{Kind: k.Kind, Name: k.Name, Version: i.Version})
+	}
+	return list, !known
+}
+
 func (g *Group) statusUpstreams(l *lead, answer *oper.StatusAnswer) {
 	now := g.now()
 	holdings := map[uint32]holding{}
--- a/internal/control/state/delta.go
+++ b/internal/control/state/delta.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// ItemsBehind returns the configuration items, set or removed, that changed after a version, and whether the state remembers so
+// far back; where it does not, a host at that version is sent everything.
+func (s *State) ItemsBehind(version uint64) (keys []items.Key, known bool) {
+	if version < s.journalFloor {
+		return nil, false
+	}
+	changed := map[items.Key]bool{}
+	first, _ := slices.BinarySearchFunc(s.journal, version+1, func(j journalEntry, v uint64) int { return cmp.Compare(j.version, v) })
+	for _, j := range s.journal[first:] {
+		for _, k := range j.items {
+			if !changed[k] {
+				changed[k] = true
+				keys = append(keys, k)
+			}
+		}
+	}
+	return keys, true
+}
+
 func (s *State) fullDelta(d table.Delta) table.Delta {
 	config := s.config
 	d.Full, d.Config, d.Upstreams, d.Entries = true, &config, s.Upstreams(), s.Entries()
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -341,3 +342,27 @@
 		_, _ = s.Apply(1, data)
 	})
 }
+
+// TestItemsBehind holds that the state names the items that a host lacks, those removed among them, and says when it no longer knows.
+func TestItemsBehind(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	s := b.state
+	patch := func(list ...items.Item) { b.mustApply(t, Command{Patch: &Patch{Items: list}}) }
+	service := func(name string, version uint64, removed bool) items.Item {
+		return items.Item{Kind: items.KindService, Name: name, Version: version, Removed: removed, Service: &items.Service{}}
+	}
+	patch(service("a", 1, false), service("b", 1, false))
+	at := s.Version()
+	keys, known := s.ItemsBehind(at)
+	c.Check(known, qt.IsTrue)
+	c.Check(keys, qt.HasLen, 0)
+	patch(service("a", 2, false))
+	patch(service("b", 3, true), service("a", 4, false))
+	keys, known = s.ItemsBehind(at)
+	c.Check(known, qt.IsTrue)
+	c.Check(keys, qt.DeepEquals, []items.Key{{Kind: items.KindService, Name: "a"}, {Kind: items.KindService, Name: "b"}})
+	s.journalFloor = at + 1
+	_, known = s.ItemsBehind(at)
+	c.Check(known, qt.IsFalse)
+}
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -10,7 +10,6 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
-	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
@@ -26,13 +25,13 @@
 	office  *deal.Office
 	stale   *staleOwners
 	mutex   sync.Mutex
-	repeats map[string]*retry.Window
+	repeats *budget
 	splits  map[string]*split
 }
 
 // New returns a broker.
 func New(o Options) *Broker {
-	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), repeats: map[string]*retry.Window{}, splits: map[string]*split{}}
+	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), repeats: newBudget(o.Repeats), splits: map[string]*split{}}
 	b.office = b.newOffice()
 	return b
 }
@@ -91,6 +90,7 @@
 	tried    []uint32
 	attempts int
 	sends    int
+	spent    bool
 	slot     *deal.Slot
 	counted  bool
 	holder   route.Holder
@@ -119,6 +119,7 @@
 		j.expires = min(j.expires, j.arrived+left)
 	}
 	j.service = b.serviceFor(match)
+	b.repeats.request(j.arrived, j.service)
 	if bad := j.findKey(view); bad != nil {
 		return bad
 	}
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
-	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
@@ -51,6 +50,9 @@
 
 // place returns the upstream for the next try, or the refusal where there is none.
 func (j *job) place(ctx context.Context) (u table.Upstream, refusal *serve.Answer) {
+	if !j.allowed() {
+		return u, j.refuse(ReasonBudgetSpent, turnedPause)
+	}
 	if j.keyed {
 		return j.placeKeyed(ctx)
 	}
@@ -58,9 +60,6 @@
 	if err == nil {
 		return u, refusal
 	}
-	if !j.alone() {
-		return u, j.refuse(ReasonBudgetSpent, turnedPause)
-	}
 	b := j.broker
 	u, ok := b.stock.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
 	if !ok {
@@ -69,25 +68,14 @@
 	return u, nil
 }
 
-// aloneShare is the part of a service's repeats that hosts which decide alone give out in all.
-const aloneShare = 0.7
-
-// alone counts a try that this host decides on by itself, and reports whether its part of the budget allows it.
-func (j *job) alone() bool {
+// allowed reports whether the budget for repeats lets the request be sent, and counts it if it was sent before.
+func (j *job) allowed() bool {
 	b := j.broker
-	now := b.options.Clock()
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	w := b.repeats[j.service]
-	if w == nil {
-		w = retry.NewWindow(b.options.Repeats, aloneShare)
-		b.repeats[j.service] = w
-	}
-	if j.sends == 0 {
-		w.Request(now)
-		return true
-	}
-	return w.Spend(now, 1/float64(max(len(b.options.Table.View().Entries()), 1)))
+	if j.sends > 0 && !j.spent {
+		j.spent = b.repeats.spend(b.options.Clock(), j.service, len(b.options.Table.View().Entries()))
+		return j.spent
+	}
+	return true
 }
 
 // askDealer asks the dealer for a slot, of one upstream or of any. An error tells that this host must decide by itself.
@@ -178,9 +166,6 @@
 	}
 	u, refusal, err := j.askDealer(ctx, o.Upstream.Number)
 	if err != nil {
-		if !j.alone() {
-			return u, j.refuse(ReasonBudgetSpent, turnedPause), false
-		}
 		j.holder = o
 		return o.Upstream, nil, false
 	}
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -22,6 +22,7 @@
 
 // run tries until there is a final answer.
 func (j *job) run(ctx context.Context) *serve.Answer {
+	defer j.giveBack()
 	for {
 		if ctx.Err() != nil {
 			return j.outOfTime(ctx)
@@ -56,15 +57,31 @@
 	b.stock.begin(now, u)
 	j.upstream = u.Name
 	j.sends++
+	repeat := j.spent
+	j.spent = false
 	got, err := b.pool.Do(tryCtx, j.call(u, left))
 	took := b.options.Clock() - now
 	if err != nil {
 		defer cancel()
+		j.spent = repeat && isNotSent(err)
 		return j.failed(ctx, u, took, err)
 	}
 	return j.answered(u, took, got, cancel)
 }
 
+// giveBack takes back a repeat that was counted and not sent.
+func (j *job) giveBack() {
+	if j.spent {
+		j.spent = false
+		j.broker.repeats.giveBack(j.broker.options.Clock(), j.service)
+	}
+}
+
+func isNotSent(err error) bool {
+	var notSent *conns.ErrNotSent
+	return errors.As(err, &notSent)
+}
+
 // call returns the request as it goes to the upstream.
 func (j *job) call(u table.Upstream, left time.Duration) *conns.Call {
 	d := j.broker.options.Dialect
@@ -94,8 +111,7 @@
 func (j *job) failed(ctx context.Context, u table.Upstream, took time.Duration, err error) (answer *serve.Answer, again bool) {
 	b := j.broker
 	j.cause = err.Error()
-	var notSent *conns.ErrNotSent
-	if errors.As(err, &notSent) {
+	if isNotSent(err) {
 		v := verdictNotReached
 		if ctx.Err() != nil || errors.Is(err, errWithdrawn) {
 			v = verdictAbandoned
--- a/internal/entry/retry/window.go
+++ b/internal/entry/retry/window.go
@@ -58,6 +58,13 @@
 	return true
 }
 
+// Return takes back a repeat that was counted lately and not sent.
+func (w *Window) Return(now time.Duration) {
+	w.advance(now)
+	c := &w.counts[w.at%parts]
+	c.repeats = max(c.repeats-1, 0)
+}
+
 func (w *Window) base(now time.Duration) float64 {
 	age := float64(now-w.since) / float64(w.terms.Window)
 	return w.terms.Base * min(max(age, firstBase), 1)
--- a/internal/ops/cmds/status.go
+++ b/internal/ops/cmds/status.go
@@ -67,9 +67,9 @@
 		rows = append(rows, []string{m.Address, m.DataCentre, fmt.Sprintf("%x", m.ID), memberRole(m), yesNo(m.Heard), yesNo(m.CaughtUp)})
 	}
 	c.shared.printTable(rows...)
-	rows = [][]string{{"ENTRY", "DATA CENTRE", "ADDRESS", "STATE", "TABLE VERSION"}}
+	rows = [][]string{{"ENTRY", "DATA CENTRE", "ADDRESS", "STATE", "TABLE VERSION", "ITEMS BEHIND"}}
 	for _, e := range status.Entries {
-		rows = append(rows, []string{e.Name, e.DataCentre, e.Address, entryState(e), strconv.FormatUint(e.Applied, 10)})
+		rows = append(rows, []string{e.Name, e.DataCentre, e.Address, entryState(e), strconv.FormatUint(e.Applied, 10), behind(e)})
 	}
 	c.shared.printTable(rows...)
 	everywhere, lagging := status.InForce()
@@ -101,6 +101,21 @@
 	return "silent"
 }
 
+// behind returns which items' newest versions are not in force on an entry host.
+func behind(e oper.EntryStatus) string {
+	if e.All {
+		return "all"
+	}
+	var names []string
+	for _, i := range e.Behind {
+		names = append(names, fmt.Sprintf("%s %s %d", i.Kind, i.Name, i.Version))
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
 func yesNo(b bool) string {
 	if b {
 		return "yes"
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -144,8 +144,22 @@
 	Live       bool   `cbor:"4,keyasint" json:"live"`
 	Applied    uint64 `cbor:"5,keyasint" json:"applied"`
 	Lost       bool   `cbor:"6,keyasint" json:"lost"`
+	// Behind names configuration items whose newest version is not in force on the host, MaxBehind at most; All tells that it
+	// lacks so much that it will be sent everything.
+	Behind []ItemVersion `cbor:"7,keyasint,omitempty" json:"behind"`
+	All    bool          `cbor:"8,keyasint,omitempty" json:"all"`
 }
 
+// ItemVersion names a configuration item and its newest version; it may have been removed with that version.
+type ItemVersion struct {
+	Kind    items.Kind `cbor:"1,keyasint" json:"kind"`
+	Name    string     `cbor:"2,keyasint" json:"name"`
+	Version uint64     `cbor:"3,keyasint" json:"version"`
+}
+
+// MaxBehind is how many items a status names for one entry host, so that its size stays bounded.
+const MaxBehind = 20
+
 // UpstreamStatus is one upstream in a status.
 type UpstreamStatus struct {
 	Upstream table.Upstream `cbor:"1,keyasint" json:"upstream"`
