--- a/internal/entry/broker/answer.go
+++ b/internal/entry/broker/answer.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 )
@@ -83,6 +85,9 @@
 
 // outOfTime returns the answer once the caller's time or the route's is over, or the caller has gone.
 func (j *job) outOfTime(ctx context.Context) *serve.Answer {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return j.refuse(ReasonStopping, stoppingPause)
+	}
 	if ctx.Err() == context.Canceled {
 		j.settle(0, Unknown, ReasonCallerGone)
 		return nil
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -27,11 +27,15 @@
 	mutex   sync.Mutex
 	repeats *budget
 	splits  map[string]*split
+	// mayWait ends when requests may wait for slots no longer.
+	mayWait     context.Context
+	stopWaiting context.CancelFunc
 }
 
 // New returns a broker.
 func New(o Options) *Broker {
 	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), repeats: newBudget(o.Repeats), splits: map[string]*split{}}
+	b.mayWait, b.stopWaiting = context.WithCancel(context.Background())
 	b.office = b.newOffice()
 	return b
 }
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -379,3 +379,31 @@
 	f.apply(table.Delta{GoneUpstreams: []uint32{1}})
 	f.c.Check(j.fits(u), qt.ErrorIs, errWithdrawn)
 }
+
+// TestStopTurnsAwayThoseWhoWait holds that a request without a slot is refused as not run once a host that stops waits no longer,
+// and that one at its upstream is answered.
+func TestStopTurnsAwayThoseWhoWait(t *testing.T) {
+	began, finish := make(chan struct{}, 4), make(chan struct{})
+	f := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-finish
+		answerWell(w, r)
+	}}, nil)
+	answers := make(chan int, 4)
+	for range 2 {
+		go func() { answers <- f.ask("/look/x").Status }()
+		<-began
+	}
+	go func() { answers <- f.ask("/look/x").Status }()
+	for {
+		if _, waiting := f.broker.Office().Load(); waiting > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.broker.StopWaiting()
+	f.c.Check(<-answers, qt.Equals, http.StatusServiceUnavailable)
+	close(finish)
+	f.c.Check(<-answers, qt.Equals, http.StatusOK)
+	f.c.Check(<-answers, qt.Equals, http.StatusOK)
+}
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -27,7 +27,9 @@
 		if ctx.Err() != nil {
 			return j.outOfTime(ctx)
 		}
-		u, refusal := j.place(ctx)
+		waiting, cancel := j.broker.untilStop(ctx)
+		u, refusal := j.place(waiting)
+		cancel()
 		if refusal != nil {
 			return refusal
 		}
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -86,6 +86,7 @@
 	ReasonTimeout     Reason = "timeout"
 	ReasonCallerGone  Reason = "callerGone"
 	ReasonBudgetSpent Reason = "budgetSpent"
+	ReasonStopping    Reason = "stopping"
 )
 
 // Record is what is known of a request once it has its final answer.
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -285,6 +285,8 @@
 	}
 	switch {
 	case d.front != nil:
+		waiting := time.AfterFunc(time.Duration(waitShare*float64(d.settings.DrainBound())), d.broker.StopWaiting)
+		defer waiting.Stop()
 		if err := d.front.Shutdown(ctx); err != nil {
 			d.log.Write(events.DrainCut, zap.Int("connections", d.front.Count()), events.Cause(err))
 		}
@@ -308,6 +310,9 @@
 	d.log.Write(events.Drained)
 }
 
+// waitShare is the part of a stop's bound for which requests may wait for a slot; the rest is for those at an upstream.
+const waitShare = 0.5
+
 // awaitLeft waits until the table names this host no longer, so that no other entry host sends here.
 func (d *Daemon) awaitLeft(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leavePause)
