--- a/internal/entry/deal/ask.go
+++ b/internal/entry/deal/ask.go
@@ -100,6 +100,9 @@
 			return s, err
 		}
 		o.passOver(p.Service, h)
+		if a.Hurry {
+			break // another part may answer at once
+		}
 	}
 	return nil, &ErrNoDealer{}
 }
@@ -159,6 +162,9 @@
 				o.finish(h.Address, p, Result{ID: a.ID, Fate: Abandoned})
 				return nil, &ErrNoDealer{}
 			}
+			if unheard > 0 {
+				o.traffic.resent.Add(1)
+			}
 			a.Left = expires - o.options.Clock()
 			o.post(h, p, a)
 			timer.Reset(resendPauses[unheard])
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,7 +96,7 @@
 	pending map[uint64]*pending
 	unacked map[uint64]*unacked
 	silent  map[string]time.Duration
-	sent    atomic.Int64
+	traffic traffic
 	late    map[outKey]*packet
 	hints   map[Part]hint
 	nextID  uint64
@@ -242,7 +241,8 @@
 	if err != nil || o.conn == nil {
 		return
 	}
-	o.sent.Add(1)
+	o.traffic.datagrams.Add(1)
+	o.traffic.bytes.Add(int64(len(data)))
 	_, _ = o.conn.WriteToUDPAddrPort(data, address) // a lost datagram is sent again by its sender
 }
 
--- a/internal/entry/deal/office_test.go
+++ b/internal/entry/deal/office_test.go
@@ -186,7 +186,7 @@
 	}
 	tries := int64(dealersTried * len(resendPauses))
 	results := int64(dealersTried * resultTries)
-	qt.Check(t, o.sent.Load() <= int64(mostSilent/dealersTried)*(tries+results), qt.IsTrue, qt.Commentf("%d datagrams", o.sent.Load()))
+	qt.Check(t, o.traffic.datagrams.Load() <= int64(mostSilent/dealersTried)*(tries+results), qt.IsTrue, qt.Commentf("%d datagrams", o.traffic.datagrams.Load()))
 	asked := len(o.pending)
 	_, err := o.Request(context.Background(), "s", wish())
 	qt.Check(t, errors.As(err, &none), qt.IsTrue)
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -79,6 +79,18 @@
 		_, waiting := d.broker.Office().Load()
 		return float64(waiting)
 	})
+	counter("ebonyrill_dealing_datagrams_total", "Datagrams sent to other entry hosts for slots.", func() int64 {
+		datagrams, _, _ := d.broker.Office().Traffic()
+		return datagrams
+	})
+	counter("ebonyrill_dealing_bytes_total", "Bytes of datagrams sent to other entry hosts for slots.", func() int64 {
+		_, bytes, _ := d.broker.Office().Traffic()
+		return bytes
+	})
+	counter("ebonyrill_dealing_resent_total", "Asks for a slot that were sent again as no reply came.", func() int64 {
+		_, _, resent := d.broker.Office().Traffic()
+		return resent
+	})
 	counter("ebonyrill_upstream_connections_total", "Connections opened to upstreams.", func() int64 {
 		dials, _ := d.broker.Pool().Counts()
 		return dials
