--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -1,12 +1,10 @@
 package deal
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,39 +12,24 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
-	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
-// Times of messages between entry hosts.
+// Times and bounds of messages between entry hosts.
 const (
-	askPeriod    = 200 * time.Millisecond // a request that waits asks again this often, in case the dealer has gone
-	silentTime   = 1500 * time.Millisecond
-	tickPeriod   = 15 * time.Millisecond
-	resultDelay  = 3 * time.Millisecond  // results wait so long for others to the same host
-	ackDelay     = 50 * time.Millisecond // confirmations wait longer, as nobody waits for them
-	resultResend = 140 * time.Millisecond
-	resultTries  = 4
-	maxPacket    = 8 << 10 // bytes
-	dealersTried = 2
-	mostSilent   = 4 // so many silent dealers at once tell that this host's own link is at fault
+	askPeriod    = 200 * time.Millisecond  // a request that waits asks again this often, in case the dealer has gone
+	silentTime   = 1500 * time.Millisecond // a dealer that said nothing is passed over for so long, about the time until control misses it
+	tickPeriod   = 15 * time.Millisecond   // those who cannot be served in time are told so within this, a tenth of a short request
+	resultResend = 140 * time.Millisecond  // a result is sent again after the delay of its confirmation and the way, with room
+	resultTries  = 4                       // then the dealer frees the slot by the request's own time
+	dealersTried = 2                       // hosts asked for one part; the request's time is short
+	mostSilent   = 4                       // so many silent dealers at once tell that this host's own link is at fault
 )
 
 // resendPauses are how long an ask waits for a reply before it is sent again; a dealer that says nothing after the last is passed
 // over. They grow, as on a link that is full each datagram more makes it worse.
 var resendPauses = [...]time.Duration{25 * time.Millisecond, 50 * time.Millisecond, 85 * time.Millisecond}
 
-// packet is one datagram between entry hosts.
-type packet struct {
-	_       struct{} `cbor:",toarray"`
-	Part    Part
-	Asks    []Ask
-	Replies []Reply
-	Results []Result
-	Acks    []uint64
-	due     time.Duration
-}
-
 // ErrNoDealer is returned when no dealer answers; the caller decides alone.
 type ErrNoDealer struct{}
 
@@ -102,12 +85,6 @@
 	nextID  uint64
 }
 
-// outKey names where results wait to be sent.
-type outKey struct {
-	to   string
-	part Part
-}
-
 // New returns an office that is not connected yet.
 func New(o Options) *Office {
 	return &Office{options: o, desks: map[Part]*Desk{}, hints: map[Part]hint{}, pending: map[uint64]*pending{}, unacked: map[uint64]*unacked{},
@@ -220,60 +197,6 @@
 	}
 }
 
-// send sends a datagram at once, with what waits for the same host; the mutex must be held.
-func (o *Office) send(to string, part Part, add func(*packet)) {
-	key := outKey{to: to, part: part}
-	p := o.late[key]
-	if p == nil {
-		p = &packet{Part: part}
-	}
-	delete(o.late, key)
-	add(p)
-	o.write(to, p)
-}
-
-func (o *Office) write(to string, p *packet) {
-	data, err := wire.Marshal(p)
-	if err != nil || len(data) > maxPacket {
-		return
-	}
-	address, err := netip.ParseAddrPort(to)
-	if err != nil || o.conn == nil {
-		return
-	}
-	o.traffic.datagrams.Add(1)
-	o.traffic.bytes.Add(int64(len(data)))
-	_, _ = o.conn.WriteToUDPAddrPort(data, address) // a lost datagram is sent again by its sender
-}
-
-// later adds to what is sent to a host a little later, so that several go together; the mutex must be held.
-func (o *Office) later(to string, part Part, delay time.Duration, add func(*packet)) {
-	key := outKey{to: to, part: part}
-	p := o.late[key]
-	if p == nil {
-		p = &packet{Part: part}
-		o.late[key] = p
-	}
-	add(p)
-	due := o.options.Clock() + delay
-	if p.due == 0 || due < p.due {
-		p.due = due
-		time.AfterFunc(delay, func() { o.flush(key) })
-	}
-}
-
-// flush sends what waits for a host once it is due.
-func (o *Office) flush(key outKey) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	p := o.late[key]
-	if p == nil || o.options.Clock()+time.Millisecond < p.due {
-		return
-	}
-	delete(o.late, key)
-	o.write(key.to, p)
-}
-
 // tick runs the desks' clocks and sends unconfirmed results again.
 func (o *Office) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
@@ -343,36 +266,3 @@
 		}
 	}
 }
-
-// dealers returns the hosts to ask for a part's slots, the first choice first: hosts of the part's data centre, where there are
-// any, and last those that said nothing lately. The mutex must be held.
-func (o *Office) dealers(now time.Duration, p Part) (list []Host) {
-	if o.cutOff(now) {
-		return nil
-	}
-	list = slices.Clone(o.options.Hosts())
-	if p.DataCentre != "" && slices.ContainsFunc(list, func(h Host) bool { return h.DataCentre == p.DataCentre }) {
-		list = slices.DeleteFunc(list, func(h Host) bool { return h.DataCentre != p.DataCentre })
-	}
-	place := p.hash()
-	scores := map[string]uint64{}
-	for _, h := range list {
-		scores[h.Address] = slice.Mix(slice.HashKey(h.Name)^place) >> 1
-		if now < o.silent[h.Address] {
-			scores[h.Address] |= 1 << 63
-		}
-	}
-	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(scores[a.Address], scores[b.Address]) })
-	return list[:min(len(list), dealersTried)]
-}
-
-// cutOff reports whether so many dealers said nothing lately that this host rather asks nobody; the mutex must be held.
-func (o *Office) cutOff(now time.Duration) bool {
-	n := 0
-	for _, until := range o.silent {
-		if now < until {
-			n++
-		}
-	}
-	return n >= mostSilent
-}
