--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -129,8 +129,23 @@
 	}
 	j.header = forwarded(r.HTTP.Header, b.options.Dialect)
 	ctx, cancel := context.WithTimeout(ctx, j.expires-b.options.Clock())
-	defer cancel()
-	return j.run(ctx)
+	return endWith(j.run(ctx), cancel)
+}
+
+// endWith ends a request's context with its answer: at once, or once the rest of a long answer has been written.
+func endWith(a *serve.Answer, cancel context.CancelFunc) *serve.Answer {
+	if a == nil || a.Rest == nil {
+		cancel()
+		return a
+	}
+	done := a.Done
+	a.Done = func(written bool) {
+		if done != nil {
+			done(written)
+		}
+		cancel()
+	}
+	return a
 }
 
 // Pauses that a caller is told to make, where nothing tells better.
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -407,3 +407,17 @@
 	f.c.Check(<-answers, qt.Equals, http.StatusOK)
 	f.c.Check(<-answers, qt.Equals, http.StatusOK)
 }
+
+// TestLongAnswerIsPassedOnWhole holds that an answer of which only the start is read before it is passed on comes to its end.
+func TestLongAnswerIsPassedOnWhole(t *testing.T) {
+	const length = 4 << 20
+	f := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, http.StatusOK, strings.Repeat("x", length))
+	}}, nil)
+	a := f.ask("/look/x")
+	f.c.Assert(a.Rest, qt.IsNotNil)
+	rest, err := io.ReadAll(a.Rest)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Check(len(a.Body)+len(rest), qt.Equals, length)
+	a.Done(true)
+}
