--- a/internal/entry/deal/desk_test.go
+++ b/internal/entry/deal/desk_test.go
@@ -255,32 +255,30 @@
 	return time.Duration((0.7 + 0.6*random.Float64()) * l.paces[upstream-1] * float64(l.took))
 }
 
-func replayDealt(l load) (missed, urgentMissed float64) {
-	random := rand.New(rand.NewPCG(3, 4))
-	d := newDesk(seats(l.slots...))
-	arrivals := l.arrivals(random)
+// play runs requests that arrive at given times against a dealer, in steps of a millisecond: offer asks for a slot, work is how long
+// an upstream takes, finish gives the slot back and tick lets time pass. It returns the requests that met their objective.
+type play struct {
+	offer  func(now time.Duration, id uint64) []addressed
+	work   func(upstream uint32) time.Duration
+	finish func(now time.Duration, r running) []addressed
+	tick   func(now time.Duration) []addressed
+}
+
+func (p play) run(arrivals []time.Duration, until time.Duration) (met []uint64) {
 	began := map[uint64]time.Duration{}
-	urgent := map[uint64]bool{}
 	var at []running
-	met, urgentMet, urgents := 0, 0, 0
 	start := func(now time.Duration, replies []addressed) {
 		for _, a := range replies {
 			if a.reply.Verdict == Go {
-				at = append(at, running{id: a.reply.ID, ends: now + l.work(random, a.reply.Upstream), at: now})
+				at = append(at, running{id: a.reply.ID, ends: now + p.work(a.reply.Upstream), at: now})
 			}
 		}
 	}
-	next := 0
-	for now := time.Duration(0); now < replayTime+2*time.Second; now += time.Millisecond {
+	for now, next := time.Duration(0), 0; now < until; now += time.Millisecond {
 		for ; next < len(arrivals) && arrivals[next] <= now; next++ {
 			id := uint64(next + 1)
-			a := Ask{ID: id, Priority: 2, Left: replayLeft, Objective: replayObjective, DataCentre: "d"}
-			if random.Float64() < l.urgent {
-				a.Priority, urgent[id] = 1, true
-				urgents++
-			}
 			began[id] = now
-			start(now, d.Offer(now, fmt.Sprint("h", id%11), a))
+			start(now, p.offer(now, id))
 		}
 		var ended []running
 		at = slices.DeleteFunc(at, func(r running) bool {
@@ -291,16 +289,42 @@
 		})
 		for _, r := range ended {
 			if now-began[r.id] <= replayObjective {
-				met++
-				if urgent[r.id] {
-					urgentMet++
-				}
+				met = append(met, r.id)
+			}
+			start(now, p.finish(now, r))
+		}
+		start(now, p.tick(now))
+	}
+	return met
+}
+
+func replayDealt(l load) (missed, urgentMissed float64) {
+	random := rand.New(rand.NewPCG(3, 4))
+	d := newDesk(seats(l.slots...))
+	arrivals := l.arrivals(random)
+	urgent := map[uint64]bool{}
+	host := func(id uint64) string { return fmt.Sprint("h", id%11) }
+	met := play{
+		offer: func(now time.Duration, id uint64) []addressed {
+			a := Ask{ID: id, Priority: 2, Left: replayLeft, Objective: replayObjective, DataCentre: "d"}
+			if random.Float64() < l.urgent {
+				a.Priority, urgent[id] = 1, true
 			}
-			start(now, d.Finish(now, fmt.Sprint("h", r.id%11), Result{ID: r.id, Fate: Answered, Took: now - r.at}))
+			return d.Offer(now, host(id), a)
+		},
+		work: func(upstream uint32) time.Duration { return l.work(random, upstream) },
+		finish: func(now time.Duration, r running) []addressed {
+			return d.Finish(now, host(r.id), Result{ID: r.id, Fate: Answered, Took: now - r.at})
+		},
+		tick: d.Tick,
+	}.run(arrivals, replayTime+2*time.Second)
+	urgentMet := 0
+	for _, id := range met {
+		if urgent[id] {
+			urgentMet++
 		}
-		start(now, d.Tick(now))
 	}
-	return 1 - float64(met)/float64(len(arrivals)), 1 - float64(urgentMet)/float64(urgents)
+	return 1 - float64(len(met))/float64(len(arrivals)), 1 - float64(urgentMet)/float64(len(urgent))
 }
 
 // replayBlind draws an upstream for each request; each has a queue of its own.
--- a/internal/entry/deal/office.go
+++ b/internal/entry/deal/office.go
@@ -133,12 +133,7 @@
 		delete(o.unacked, id)
 	}
 	for _, r := range p.Replies {
-		if w := o.pending[r.ID]; w != nil {
-			select {
-			case w.replies <- r:
-			default:
-			}
-		}
+		o.hand(r)
 	}
 	if len(p.Asks)+len(p.Results) == 0 {
 		return
@@ -177,17 +172,24 @@
 	return d.Follow(now, division.Members(p, list), 1/float64(max(division.Count(), 1)))
 }
 
+// hand gives a reply to the request of this host that waits for it; the mutex must be held.
+func (o *Office) hand(r Reply) {
+	w := o.pending[r.ID]
+	if w == nil {
+		return
+	}
+	select {
+	case w.replies <- r:
+	default: // it has replies enough that it has not read yet
+	}
+}
+
 // deliver brings replies to their askers, here or elsewhere; the mutex must be held.
 func (o *Office) deliver(part Part, replies []addressed) {
 	byHost := map[string][]Reply{}
 	for _, a := range replies {
 		if a.key.Host == o.options.Self.Address {
-			if w := o.pending[a.reply.ID]; w != nil {
-				select {
-				case w.replies <- a.reply:
-				default:
-				}
-			}
+			o.hand(a.reply)
 			continue
 		}
 		byHost[a.key.Host] = append(byHost[a.key.Host], a.reply)
--- a/internal/entry/deal/parts_test.go
+++ b/internal/entry/deal/parts_test.go
@@ -151,48 +151,26 @@
 	const took = 160 * time.Millisecond
 	l := load{perSec: perSec}
 	arrivals := l.arrivals(h.random)[:int(perSec*5)]
-	type work struct {
-		running
-		part Part
-	}
-	var at []work
-	parts, began := map[uint64]Part{}, map[uint64]time.Duration{}
-	met := 0
-	start := func(now time.Duration, replies []addressed) {
-		for _, a := range replies {
-			if a.reply.Verdict == Go {
-				ends := now + time.Duration((0.7+0.6*h.random.Float64())*float64(took))
-				at = append(at, work{running{id: a.reply.ID, ends: ends, at: now}, parts[a.reply.ID]})
-			}
-		}
-	}
-	for now, next := time.Duration(0), 0; now < arrivals[len(arrivals)-1]+2*time.Second; now += time.Millisecond {
-		for ; next < len(arrivals) && arrivals[next] <= now; next++ {
-			id := uint64(next + 1)
+	parts := map[uint64]Part{}
+	met := play{
+		offer: func(now time.Duration, id uint64) (replies []addressed) {
 			centre := []string{"d0", "d0", "d1", "d2"}[h.random.IntN(4)]
-			p, replies := h.offer(now, Ask{ID: id, Priority: 1, Left: replayLeft, Objective: replayObjective, DataCentre: centre})
-			parts[id], began[id] = p, now
-			start(now, replies)
-		}
-		var ended []work
-		at = slices.DeleteFunc(at, func(w work) bool {
-			if w.ends <= now {
-				ended = append(ended, w)
+			parts[id], replies = h.offer(now, Ask{ID: id, Priority: 1, Left: replayLeft, Objective: replayObjective, DataCentre: centre})
+			return replies
+		},
+		work: func(uint32) time.Duration { return time.Duration((0.7 + 0.6*h.random.Float64()) * float64(took)) },
+		finish: func(now time.Duration, r running) []addressed {
+			return h.desks[parts[r.id]].Finish(now, "h", Result{ID: r.id, Fate: Answered, Took: now - r.at})
+		},
+		tick: func(now time.Duration) (replies []addressed) {
+			for _, d := range h.desks {
+				replies = append(replies, d.Tick(now)...)
 			}
-			return w.ends <= now
-		})
-		for _, w := range ended {
-			if now-began[w.id] <= replayObjective {
-				met++
-			}
-			start(now, h.desks[w.part].Finish(now, "h", Result{ID: w.id, Fate: Answered, Took: now - w.at}))
-		}
-		for _, d := range h.desks {
-			start(now, d.Tick(now))
-		}
-	}
+			return replies
+		},
+	}.run(arrivals, arrivals[len(arrivals)-1]+2*time.Second)
 	for _, n := range h.asks {
 		busiest = max(busiest, n)
 	}
-	return 1 - float64(met)/float64(len(arrivals)), busiest
+	return 1 - float64(len(met))/float64(len(arrivals)), busiest
 }
--- a/internal/entry/deal/place.go
+++ b/internal/entry/deal/place.go
@@ -6,11 +6,8 @@
 	"time"
 )
 
-// mayRun reports whether an upstream may run a request at all, whether it has a free slot or not.
+// mayRun reports whether an upstream may run a request that names none, whether it has a free slot or not.
 func mayRun(c *claim, s *seat) bool {
-	if c.ask.Upstream != 0 {
-		return s.up.Number == c.ask.Upstream
-	}
 	return !s.up.Leaving && !slices.Contains(c.ask.Avoid, s.up.Number)
 }
 
@@ -29,7 +26,8 @@
 
 // pump gives free slots to those who wait, in their order, as long as any fits.
 func (d *Desk) pump(now time.Duration) (replies []addressed) {
-	if len(d.waiting) == 0 || d.free() == 0 {
+	free := d.free()
+	if len(d.waiting) == 0 || free == 0 {
 		return nil
 	}
 	costs := d.newCosts(now)
@@ -44,7 +42,7 @@
 		c.seat = s
 		s.busy++
 		replies = append(replies, addressed{c.key, Reply{ID: c.key.ID, Verdict: Go, Upstream: s.up.Number}})
-		if d.free() == 0 {
+		if free--; free == 0 {
 			break
 		}
 		costs.changed(s)
@@ -91,14 +89,13 @@
 
 // costs holds what each upstream costs at one moment, by the data centre of the entry host.
 type costs struct {
-	desk *Desk
 	now  time.Duration
 	open []*seat
 	from map[string][]float64
 }
 
 func (d *Desk) newCosts(now time.Duration) *costs {
-	k := &costs{desk: d, now: now, from: map[string][]float64{}}
+	k := &costs{now: now, from: map[string][]float64{}}
 	for _, number := range d.order {
 		if s := d.seats[number]; !s.cutOff(now) {
 			k.open = append(k.open, s)
--- a/internal/entry/deal/post.go
+++ b/internal/entry/deal/post.go
@@ -31,13 +31,18 @@
 	part Part
 }
 
+// packetFor returns the datagram that waits for a host, or a new one; the mutex must be held.
+func (o *Office) packetFor(key outKey) *packet {
+	if p := o.late[key]; p != nil {
+		return p
+	}
+	return &packet{Part: key.part}
+}
+
 // send sends a datagram at once, with what waits for the same host; the mutex must be held.
 func (o *Office) send(to string, part Part, add func(*packet)) {
 	key := outKey{to: to, part: part}
-	p := o.late[key]
-	if p == nil {
-		p = &packet{Part: part}
-	}
+	p := o.packetFor(key)
 	delete(o.late, key)
 	add(p)
 	o.write(to, p)
@@ -60,11 +65,8 @@
 // later adds to what is sent to a host a little later, so that several go together; the mutex must be held.
 func (o *Office) later(to string, part Part, delay time.Duration, add func(*packet)) {
 	key := outKey{to: to, part: part}
-	p := o.late[key]
-	if p == nil {
-		p = &packet{Part: part}
-		o.late[key] = p
-	}
+	p := o.packetFor(key)
+	o.late[key] = p
 	add(p)
 	due := o.options.Clock() + delay
 	if p.due == 0 || due < p.due {
