--- a/internal/control/state/delta.go
+++ b/internal/control/state/delta.go
@@ -23,12 +23,17 @@
 	return d
 }
 
+// journalSince returns what changed after a version.
+func (s *State) journalSince(version uint64) []journalEntry {
+	first, _ := slices.BinarySearchFunc(s.journal, version+1, func(j journalEntry, v uint64) int { return cmp.Compare(j.version, v) })
+	return s.journal[first:]
+}
+
 // addJournal adds what changed since the delta's start; each upstream and entry host appears once, as it is now.
 func (s *State) addJournal(d *table.Delta) {
 	upstreams, entries := map[uint32]bool{}, map[string]bool{}
 	changed := map[items.Key]bool{}
-	first, _ := slices.BinarySearchFunc(s.journal, d.From+1, func(j journalEntry, v uint64) int { return cmp.Compare(j.version, v) })
-	for _, j := range s.journal[first:] {
+	for _, j := range s.journalSince(d.From) {
 		if j.changes.Service != "" {
 			d.Tables = append(d.Tables, j.changes)
 		}
@@ -66,8 +71,7 @@
 		return nil, false
 	}
 	changed := map[items.Key]bool{}
-	first, _ := slices.BinarySearchFunc(s.journal, version+1, func(j journalEntry, v uint64) int { return cmp.Compare(j.version, v) })
-	for _, j := range s.journal[first:] {
+	for _, j := range s.journalSince(version) {
 		for _, k := range j.items {
 			if !changed[k] {
 				changed[k] = true
