--- a/internal/ops/cmds/hosts.go
+++ b/internal/ops/cmds/hosts.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -52,19 +51,19 @@
 // bootstrap starts the group on one host; a host that the group's leader is bringing up to date refuses until it knows
 // the members.
 func bootstrap(s *session, address string, r *oper.BootstrapRequest) error {
-	return insist(func() error {
+	return s.insist(func() error {
 		_, err := wire.Call[oper.BootstrapRequest, oper.Identity](s.ctx, s.hosts.Client(), address, oper.Bootstrap, r)
 		return err
 	})
 }
 
 // insist tries an idempotent step a few times with pauses between.
-func insist(step func() error) (err error) {
+func (s *session) insist(step func() error) (err error) {
 	for range stepTries {
 		if err = step(); err == nil {
 			return nil
 		}
-		time.Sleep(statusPause)
+		s.pause()
 	}
 	return err
 }
@@ -102,19 +101,19 @@
 		return err
 	}
 	progress("%s is a learner with identity %x", address, i.ID)
-	for s.ctx.Err() == nil {
-		if err = change(s, &oper.MembersRequest{Action: oper.Promote, ID: i.ID}); err == nil {
-			progress("%s holds every committed entry and votes", address)
-			return nil
-		}
-		time.Sleep(statusPause)
+	votes := s.until(func() bool {
+		err = change(s, &oper.MembersRequest{Action: oper.Promote, ID: i.ID})
+		return err == nil
+	})
+	if votes {
+		progress("%s holds every committed entry and votes", address)
 	}
 	return err
 }
 
 // change makes one step of a membership change; a step in progress is waited for.
 func change(s *session, r *oper.MembersRequest) error {
-	return insist(func() error {
+	return s.insist(func() error {
 		_, err := ask[oper.MembersRequest, oper.Empty](s, oper.Members, r)
 		return err
 	})
@@ -196,12 +195,13 @@
 		return err
 	}
 	progress("identity %x is removed", old)
-	for s.ctx.Err() == nil {
-		if status, err := s.status(); err == nil && status.FullRedundancy {
-			c.shared.printf("%s replaces %s; full redundancy\n", c.Args.New, c.Args.Old)
-			return nil
-		}
-		time.Sleep(statusPause)
+	redundant := s.until(func() bool {
+		status, err := s.status()
+		return err == nil && status.FullRedundancy
+	})
+	if redundant {
+		c.shared.printf("%s replaces %s; full redundancy\n", c.Args.New, c.Args.Old)
+		return nil
 	}
 	return &ErrNotReached{What: fmt.Sprintf("full redundancy after %s replaced %s", c.Args.New, c.Args.Old)}
 }
--- a/internal/ops/cmds/operator.go
+++ b/internal/ops/cmds/operator.go
@@ -79,6 +79,28 @@
 	return ask[oper.Empty, oper.StatusAnswer](s, oper.Status, &oper.Empty{})
 }
 
+// statusPause is the pause between two looks at the system, short for one who waits at a terminal.
+const statusPause = 200 * time.Millisecond
+
+// pause waits for a moment, or until the command's time is over.
+func (s *session) pause() {
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(statusPause):
+	}
+}
+
+// until looks again and again until it is done, and reports whether it was before the command's time was over.
+func (s *session) until(done func() bool) bool {
+	for s.ctx.Err() == nil {
+		if done() {
+			return true
+		}
+		s.pause()
+	}
+	return false
+}
+
 // printf writes to the command's output.
 func (o *options) printf(format string, values ...any) { fmt.Fprintf(o.out, format, values...) }
 
--- a/internal/ops/cmds/status.go
+++ b/internal/ops/cmds/status.go
@@ -4,30 +4,29 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 )
 
-// statusPause is the pause between two looks at the status.
-const statusPause = 200 * time.Millisecond
-
 func compareText(a, b string) int { return strings.Compare(a, b) }
 
 // awaitInForce waits until a configuration version is in force on every entry host.
 func awaitInForce(s *session, version uint64) (err error) {
 	var lagging []string
-	for s.ctx.Err() == nil {
+	everywhere := s.until(func() (done bool) {
 		status, err := s.status()
-		if err == nil && status.ConfigVersion >= version {
-			var everywhere bool
-			if everywhere, lagging = status.InForce(); everywhere {
-				progress("version %d is in force on %d entry hosts", status.ConfigVersion, len(status.Entries))
-				return nil
-			}
+		if err != nil || status.ConfigVersion < version {
+			return false
+		}
+		if done, lagging = status.InForce(); done {
+			progress("version %d is in force on %d entry hosts", status.ConfigVersion, len(status.Entries))
+		} else {
 			progress("waiting for %s", strings.Join(lagging, ", "))
 		}
-		time.Sleep(statusPause)
+		return done
+	})
+	if everywhere {
+		return nil
 	}
 	return &ErrNotReached{What: fmt.Sprintf("version %d in force everywhere; lagging or cut off: %s", version, strings.Join(lagging, ", "))}
 }
@@ -233,16 +232,19 @@
 
 func (c *drainCommand) await(s *session) (err error) {
 	left := 0
-	for s.ctx.Err() == nil {
+	empty := s.until(func() bool {
 		status, err := s.status()
-		if err == nil {
-			if left = slicesOf(status, c.Args.Name); left == 0 {
-				c.shared.printf("%s owns no keys\n", c.Args.Name)
-				return nil
-			}
+		if err != nil {
+			return false
+		}
+		if left = slicesOf(status, c.Args.Name); left > 0 {
 			progress("%s still owns %d slices", c.Args.Name, left)
 		}
-		time.Sleep(statusPause)
+		return left == 0
+	})
+	if empty {
+		c.shared.printf("%s owns no keys\n", c.Args.Name)
+		return nil
 	}
 	return &ErrNotReached{What: fmt.Sprintf("drain of %s; it owns %d slices", c.Args.Name, left)}
 }
