--- a/internal/entry/broker/answer.go
+++ b/internal/entry/broker/answer.go
@@ -4,19 +4,15 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length", "Expect"}
-
 // forwarded returns the headers of a request that go on to the upstream, less those that the broker sets itself.
 func forwarded(h http.Header, d Dialect) http.Header {
 	next := withoutHops(h)
@@ -25,16 +21,10 @@
 	return next
 }
 
+// withoutHops returns a copy of a header without what concerns one connection, or is made anew for each.
 func withoutHops(h http.Header) http.Header {
 	next := h.Clone()
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			next.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(next, name)
-	}
+	relay.DropHops(next, "Content-Length", "Expect")
 	return next
 }
 
@@ -45,13 +35,13 @@
 	a := &serve.Answer{Status: got.Status, Header: header, Body: got.Body, Rest: got.Rest, Length: got.Length}
 	if got.Rest == nil {
 		cancel()
-		j.settle(got.Status, Done, ReasonAnswered)
+		j.settle(got.Status, relay.Done, ReasonAnswered)
 		return a
 	}
 	a.Done = func(written bool) {
 		got.End(written)
 		cancel()
-		j.settle(got.Status, Done, ReasonAnswered)
+		j.settle(got.Status, relay.Done, ReasonAnswered)
 	}
 	return a
 }
@@ -62,7 +52,7 @@
 	if j.mayRan {
 		return j.unknown(reason)
 	}
-	j.settle(http.StatusServiceUnavailable, NotRun, reason)
+	j.settle(http.StatusServiceUnavailable, relay.NotRun, reason)
 	a := serve.Text(http.StatusServiceUnavailable, "not run: "+string(reason))
 	a.Header.Set("Retry-After", strconv.FormatFloat(max(pause, time.Millisecond).Seconds(), 'f', 3, 64))
 	return a
@@ -73,13 +63,13 @@
 	if j.last != nil {
 		return j.pass(j.last, func() {})
 	}
-	j.settle(http.StatusBadGateway, Unknown, reason)
+	j.settle(http.StatusBadGateway, relay.Unknown, reason)
 	return serve.Text(http.StatusBadGateway, "no answer came from the upstream: "+string(reason))
 }
 
 // fail returns an answer to a request that is not forwarded.
 func (j *job) fail(status int, reason Reason) *serve.Answer {
-	j.settle(status, NotRun, reason)
+	j.settle(status, relay.NotRun, reason)
 	return serve.Text(status, string(reason))
 }
 
@@ -89,7 +79,7 @@
 		return j.refuse(ReasonStopping, stoppingPause)
 	}
 	if ctx.Err() == context.Canceled {
-		j.settle(0, Unknown, ReasonCallerGone)
+		j.settle(0, relay.Unknown, ReasonCallerGone)
 		return nil
 	}
 	if !j.mayRan {
@@ -98,7 +88,7 @@
 	if j.last != nil {
 		return j.pass(j.last, func() {})
 	}
-	j.settle(http.StatusGatewayTimeout, Unknown, ReasonTimeout)
+	j.settle(http.StatusGatewayTimeout, relay.Unknown, ReasonTimeout)
 	return serve.Text(http.StatusGatewayTimeout, "the upstream did not answer in time")
 }
 
@@ -111,7 +101,7 @@
 }
 
 // settle notes the final answer.
-func (j *job) settle(status int, o Outcome, reason Reason) {
+func (j *job) settle(status int, o relay.Outcome, reason Reason) {
 	b := j.broker
 	r := Record{ID: j.id, Route: j.match.Name, Service: j.service, Upstream: j.upstream, Attempts: j.attempts, Status: status,
 		Outcome: o, Reason: reason, Took: b.options.Clock() - j.arrived, Waited: j.waited, Version: b.options.Table.View().Version()}
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
@@ -204,7 +205,7 @@
 	left, err := strconv.Atoi(got.Header.Get("Left"))
 	f.c.Assert(err, qt.IsNil)
 	f.c.Check(left > 0 && left <= 1000, qt.IsTrue)
-	f.c.Check(f.records.last().Outcome, qt.Equals, Done)
+	f.c.Check(f.records.last().Outcome, qt.Equals, relay.Done)
 }
 
 // TestWhatBecomesOfFailures holds for each way in which a first upstream can fail what the caller is told, how often the request
@@ -225,17 +226,17 @@
 		all     http.HandlerFunc
 		status  int
 		sent    int
-		outcome Outcome
+		outcome relay.Outcome
 	}{
-		{"turned away by all, idempotent", "/look/x", turnAway(503), 503, 2, NotRun},
-		{"turned away by all, not idempotent", "/sign/x", turnAway(503), 503, 2, NotRun},
-		{"broken off, idempotent", "/look/x", breakOff, 502, 2, Unknown},
-		{"broken off, not idempotent", "/sign/x", breakOff, 502, 1, Unknown},
-		{"no proof, idempotent", "/look/x", plainText, 502, 2, Unknown},
-		{"no proof, not idempotent", "/sign/x", plainText, 502, 1, Unknown},
-		{"encoded body", "/look/x", encoded, 502, 2, Unknown},
-		{"failed there, idempotent", "/look/x", fails, 500, 2, Done},
-		{"failed there, not idempotent", "/sign/x", fails, 500, 1, Done},
+		{"turned away by all, idempotent", "/look/x", turnAway(503), 503, 2, relay.NotRun},
+		{"turned away by all, not idempotent", "/sign/x", turnAway(503), 503, 2, relay.NotRun},
+		{"broken off, idempotent", "/look/x", breakOff, 502, 2, relay.Unknown},
+		{"broken off, not idempotent", "/sign/x", breakOff, 502, 1, relay.Unknown},
+		{"no proof, idempotent", "/look/x", plainText, 502, 2, relay.Unknown},
+		{"no proof, not idempotent", "/sign/x", plainText, 502, 1, relay.Unknown},
+		{"encoded body", "/look/x", encoded, 502, 2, relay.Unknown},
+		{"failed there, idempotent", "/look/x", fails, 500, 2, relay.Done},
+		{"failed there, not idempotent", "/sign/x", fails, 500, 1, relay.Done},
 	}
 	for _, v := range cases {
 		t.Run(v.name, func(t *testing.T) {
@@ -344,7 +345,7 @@
 	defer close(hang)
 	a := f.ask("/sign/x", func(r *http.Request) { r.Header.Set("Left", "150") })
 	f.c.Check(a.Status, qt.Equals, http.StatusGatewayTimeout)
-	f.c.Check(f.records.last().Outcome, qt.Equals, Unknown)
+	f.c.Check(f.records.last().Outcome, qt.Equals, relay.Unknown)
 }
 
 func TestStaleOwners(t *testing.T) {
--- a/internal/entry/broker/log.go
+++ b/internal/entry/broker/log.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -24,7 +25,7 @@
 // logRecord writes one line for a request: those that were served at a lower level than those that were not.
 func (b *Broker) logRecord(r Record) {
 	event := events.RequestEnded
-	if r.Outcome != Done || r.Status >= 500 {
+	if r.Outcome != relay.Done || r.Status >= 500 {
 		event = events.RequestFailed
 	}
 	b.options.Log.Write(event, zap.String("id", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
@@ -58,16 +59,6 @@
 	Clock     clock.Clock
 }
 
-// Outcome is what became of a request as far as its caller is concerned.
-type Outcome string
-
-// Outcomes.
-const (
-	Done    Outcome = "done"
-	NotRun  Outcome = "notRun"
-	Unknown Outcome = "unknown"
-)
-
 // Reason tells why a request ended as it did.
 type Reason string
 
@@ -98,7 +89,7 @@
 	Upstream  string
 	Attempts  int
 	Status    int
-	Outcome   Outcome
+	Outcome   relay.Outcome
 	Reason    Reason
 	Took      time.Duration
 	Waited    time.Duration
--- a/internal/entry/relay/headers.go
+++ b/internal/entry/relay/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -60,8 +61,20 @@
 )
 
 // hopHeaders are the headers of one connection, which are not passed on.
-var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// DropHops removes the fields of a header that concern one connection only, those that its Connection field names among them,
+// and more.
+func DropHops(h http.Header, more ...string) {
+	for _, named := range h["Connection"] {
+		for _, name := range strings.Split(named, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range slices.Concat(hopHeaders, more) {
+		h.Del(name)
+	}
+}
 
 // Bytes that HTTP adds to each header field and to the request line.
 const (
@@ -88,13 +101,6 @@
 			next[name] = values
 		}
 	}
-	for _, named := range h["Connection"] {
-		for _, name := range strings.Split(named, ",") {
-			next.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		next.Del(name)
-	}
+	DropHops(next, "Proxy-Authenticate", "Proxy-Authorization")
 	return next
 }
--- a/internal/entry/tally/tally.go
+++ b/internal/entry/tally/tally.go
@@ -128,7 +128,7 @@
 		return burn.Shed
 	case r.Reason == broker.ReasonNoOwner:
 		return burn.Moved
-	case r.Outcome != broker.Done || r.Status >= http.StatusInternalServerError:
+	case r.Outcome != relay.Done || r.Status >= http.StatusInternalServerError:
 		return burn.Unavailable
 	case r.Objective > 0 && r.Took > r.Objective:
 		return burn.Slow
