--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -182,7 +182,7 @@
 		g.options.Log.Write(events.ProposalLost, events.Cause(err))
 		return
 	}
-	g.options.Log.Write(events.MembersChanged, zap.String("reason", reason), zap.Int("members", len(next)), zap.Int("voters", next.Voters()))
+	g.noteMembers(next, reason)
 }
 
 // nextMembers returns the membership after the next step, or none.
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -153,7 +153,12 @@
 	}
 	random := rand.New(rand.NewPCG(uint64(g.store.ID()), g.store.Hard().Term))
 	g.core = agree.New(g.store.ID(), g.options.Timing, random, g.now(), g.store.Hard(), s, g.store.Tail())
-	g.options.Log.Write(events.GroupJoined, zap.Uint64("replica", uint64(g.store.ID())))
+	last := s.Index
+	if tail := g.store.Tail(); len(tail) > 0 {
+		last = tail[len(tail)-1].Index
+	}
+	g.options.Log.Write(events.GroupJoined, zap.Uint64("replica", uint64(g.store.ID())), zap.Uint64("last", last),
+		zap.Uint64("snapshot", s.Index), zap.Uint64("term", g.store.Hard().Term))
 	return nil
 }
 
@@ -348,11 +353,24 @@
 	answer := proposalAnswer{result: result}
 	if w.term != e.Term {
 		answer = proposalAnswer{err: &oper.ErrOutcomeUnknown{}}
+	} else {
+		g.noteCommitted(e.Index)
 	}
 	w.answer <- answer
 	return nil
 }
 
+// noteCommitted tells on how many voters' disks a change stands that is about to be acknowledged.
+func (g *Group) noteCommitted(index uint64) {
+	disks, members := 0, g.core.Members()
+	for _, m := range members {
+		if m.Voter && g.core.MatchIndex(m.ID) >= index {
+			disks++
+		}
+	}
+	g.options.Log.Write(events.ChangeCommitted, zap.Uint64("index", index), zap.Int("disks", disks), zap.Int("voters", members.Voters()))
+}
+
 // compact saves a snapshot once the log has grown.
 func (g *Group) compact() (err error) {
 	if g.store.LogBytes() < snapshotEveryBytes && g.state.Index() < g.core.SnapshotIndex()+snapshotEvery {
--- a/internal/control/group/members.go
+++ b/internal/control/group/members.go
@@ -106,10 +106,15 @@
 	if err != nil {
 		return 0, &oper.ErrRefused{Reason: err.Error()}
 	}
-	g.options.Log.Write(events.MembersChanged, zap.Int("members", len(next)), zap.Int("voters", next.Voters()))
+	g.noteMembers(next, "an operator asked")
 	return index, nil
 }
 
+func (g *Group) noteMembers(next agree.Members, reason string) {
+	g.options.Log.Write(events.MembersChanged, zap.String("reason", reason), zap.Int("members", len(next)),
+		zap.Int("voters", next.Voters()), zap.Int("quorum", next.Quorum()))
+}
+
 // awaitApplied waits until the index is applied here.
 func (g *Group) awaitApplied(ctx context.Context, index uint64) (err error) {
 	for {
--- a/internal/shared/events/events.go
+++ b/internal/shared/events/events.go
@@ -81,6 +81,7 @@
 	ConfigAccepted   = event(2201, zap.InfoLevel, LayerControl, "configuration accepted")
 	ConfigRejected   = event(2202, zap.InfoLevel, LayerControl, "configuration not accepted")
 	ItemsPatched     = event(2203, zap.InfoLevel, LayerControl, "configuration items decided")
+	ChangeCommitted  = event(2204, zap.InfoLevel, LayerControl, "change committed")
 	SlicesPlanned    = event(2301, zap.DebugLevel, LayerControl, "slice operations proposed")
 	ProposalLost     = event(2302, zap.DebugLevel, LayerControl, "proposal not made")
 	TableApplied     = event(3001, zap.DebugLevel, LayerEntry, "table version applied")
