store: a start makes durable what it has read before the replica answers for it

Open took what it read for durable. A process that is killed between the write and the sync of a record leaves it in the page cache. Started again, the replica holds the entry, answers the leader with its index and syncs nothing, as there is nothing to append; the leader counts it among the disks of a commit. The same for a vote, which is granted again, and for names: a folder that was not synced after the rename of the identity file comes back without its marker, so that the host joins afresh under the identity that answered before, and a log whose rename is undone takes with it all that was synced into it since.

Open syncs the log and the folder after it has read them. Contents of the other files are synced before their rename and need no sync here. The folder is reached through a small interface, so that tests can end a process at any operation and lose power.

TestRecordReadAfterAKillIsNotLostWithThePower (entry 2 and its vote gone: got 1, want 2) and TestJoinReadAfterAKillIsNotLostWithThePower (joined: got false) fail with the interface alone and pass with the change; mutants durableBeforeAnswered and durableNames are killed.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -75,6 +75,14 @@
 mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
+mutant durableBeforeAnswered $store/store.go '	return s.log.Sync()
+}
+
+// connectTail' '	return nil
+}
+
+// connectTail' $store TestRecordReadAfterAKill
+mutant durableNames $store/store.go 'return s.files.SyncFolder(s.folder)' 'return nil' $store TestJoinReadAfterAKill
 mutant corruptMiddle $store/store.go 'if wholeRecordBehind(data[offset:]) {' 'if false {' $store TestCorruptMiddle
 mutant outcomeKept internal/control/state/publish.go 'if known, ok := s.Outcome(p.ID); ok {' 'if known, ok := s.Outcome(p.ID); ok && false {' internal/control/state TestPublishOutcomes
 mutant compareAndSet internal/control/state/publish.go 'case p.Base != s.config.Version:' 'case false:' internal/control/state TestPublishOutcomes
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 
@@ -23,8 +24,9 @@
 // Store is an open data folder; it is not safe for concurrent use.
 type Store struct {
 	folder   string
+	files    fileSystem
 	identity identity
-	log      *os.File
+	log      file
 	lock     *os.File
 	logBytes int64
 	hard     agree.HardState
@@ -44,7 +46,7 @@
 	if err = os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
-	s = &Store{folder: folder}
+	s = &Store{folder: folder, files: osFiles{}}
 	if err = s.acquireLock(); err != nil {
 		return nil, err
 	}
@@ -55,15 +57,22 @@
 	return s, nil
 }
 
-// load reads the identity and, in a folder that has joined, snapshot and log.
+// load reads the identity and, in a folder that has joined, snapshot and log. All that it has read is durable once it
+// returns: a process that was killed may have left a record or a name in the page cache only, and the replica is about to
+// answer for it.
 func (s *Store) load(newID func() agree.ReplicaID) (err error) {
-	if err = s.loadIdentity(newID); err != nil || !s.identity.Joined {
+	if err = s.loadIdentity(newID); err != nil {
 		return err
 	}
-	if err = s.loadSnapshot(); err != nil {
-		return err
+	if s.identity.Joined {
+		if err = s.loadSnapshot(); err != nil {
+			return err
+		}
+		if err = s.loadLog(); err != nil {
+			return err
+		}
 	}
-	return s.loadLog()
+	return s.files.SyncFolder(s.folder)
 }
 
 // Bootstrap makes the folder part of a group that starts from the members; it is refused once the folder has joined.
@@ -178,8 +187,8 @@
 
 func (s *Store) loadIdentity(newID func() agree.ReplicaID) (err error) {
 	path := filepath.Join(s.folder, identityFile)
-	data, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
+	data, err := s.files.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
 		s.identity = identity{ReplicaID: newID()}
 		return s.writeIdentity()
 	}
@@ -197,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	return writeFileSynced(s.folder, identityFile, data)
+	return s.writeFileSynced(identityFile, data)
 }
 
 func (s *Store) markJoined() error {
@@ -210,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	if err = writeFileSynced(s.folder, snapshotFile, appendRecord(nil, recordSnapshot, payload)); err != nil {
+	if err = s.writeFileSynced(snapshotFile, appendRecord(nil, recordSnapshot, payload)); err != nil {
 		return err
 	}
 	s.snapshot = snapshot
@@ -219,7 +228,7 @@
 
 func (s *Store) loadSnapshot() (err error) {
 	path := filepath.Join(s.folder, snapshotFile)
-	data, err := os.ReadFile(path)
+	data, err := s.files.ReadFile(path)
 	if err != nil {
 		return err
 	}
@@ -236,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	if err = writeFileSynced(s.folder, logFile, buffer); err != nil {
+	if err = s.writeFileSynced(logFile, buffer); err != nil {
 		return err
 	}
 	s.hard, s.tail, s.logBytes = hard, tail, int64(len(buffer))
@@ -246,8 +255,9 @@
 func (s *Store) openLog() (err error) {
 	if s.log != nil {
 		_ = s.log.Close()
+		s.log = nil
 	}
-	s.log, err = os.OpenFile(filepath.Join(s.folder, logFile), os.O_RDWR|os.O_APPEND, 0o600)
+	s.log, err = s.files.OpenFile(filepath.Join(s.folder, logFile), os.O_RDWR|os.O_APPEND)
 	return err
 }
 
@@ -273,14 +283,13 @@
 	}
 	s.logBytes = int64(offset)
 	s.connectTail()
-	if offset == len(data) {
-		return nil
-	}
-	if wholeRecordBehind(data[offset:]) {
-		return &ErrCorrupt{File: path, Offset: offset}
-	}
-	if err = s.log.Truncate(int64(offset)); err != nil {
-		return err
+	if offset < len(data) {
+		if wholeRecordBehind(data[offset:]) {
+			return &ErrCorrupt{File: path, Offset: offset}
+		}
+		if err = s.log.Truncate(int64(offset)); err != nil {
+			return err
+		}
 	}
 	return s.log.Sync()
 }
