serve, broker: a connection that ends without answers says what it owed

Cause: a caller's connection that ended with requests outstanding left no line, so that a lost answer could not be told from a caller that left. Seen by callers: nothing.

--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
@@ -27,6 +28,8 @@
 	mutex   sync.Mutex
 	repeats *budget
 	splits  map[string]*split
+	// stopAt is when the host was told to stop, zero before.
+	stopAt atomic.Int64
 	// mayWait ends when requests may wait for slots no longer.
 	mayWait     context.Context
 	stopWaiting context.CancelFunc
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -48,11 +48,12 @@
 	list  []Record
 }
 
-func (r *records) Arrived(string, uint64, uint64)       {}
-func (r *records) Tried(uint32, bool, time.Duration)    {}
-func (r *records) Settled(x Record)                     { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
-func (r *records) last() Record                         { r.mutex.Lock(); defer r.mutex.Unlock(); return r.list[len(r.list)-1] }
-func answerWell(w http.ResponseWriter, r *http.Request) { answer(w, r, http.StatusOK, "body") }
+func (r *records) Arrived(string, uint64, uint64)           {}
+func (r *records) Tried(uint32, bool, time.Duration)        {}
+func (r *records) Unanswered(serve.Cause, serve.Stage, int) {}
+func (r *records) Settled(x Record)                         { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
+func (r *records) last() Record                             { r.mutex.Lock(); defer r.mutex.Unlock(); return r.list[len(r.list)-1] }
+func answerWell(w http.ResponseWriter, r *http.Request)     { answer(w, r, http.StatusOK, "body") }
 
 func answer(w http.ResponseWriter, r *http.Request, status int, body string) {
 	w.Header().Set("Id", r.Header.Get("Id"))
--- a/internal/entry/broker/log.go
+++ b/internal/entry/broker/log.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -15,6 +16,32 @@
 	b.options.Log.Write(events.RequestRefused, zap.String("caller", remote), zap.Int("status", status), zap.String("reason", reason))
 }
 
+// idsTold is how many ids of unanswered requests one line names; a connection may hold more.
+const idsTold = 16
+
+// Unanswered notes that a caller's connection ended while requests that were read had no complete answer.
+func (b *Broker) Unanswered(u *serve.Unanswered) {
+	for _, s := range []serve.Stage{serve.StageWaiting, serve.StagePassedOn, serve.StageAnswered} {
+		b.options.Observer.Unanswered(u.Cause, s, u.Count(s))
+	}
+	var ids []string
+	for _, r := range u.Requests[:min(len(u.Requests), idsTold)] {
+		ids = append(ids, r.HTTP.Header.Get(b.options.Dialect.RequestID))
+	}
+	event := events.AnswersCut
+	if u.Cause == serve.CauseCallerClosed {
+		event = events.CallerLeft
+	}
+	since, stopping := b.sinceStop()
+	fields := []zap.Field{zap.String("caller", u.Remote), zap.String("cause", string(u.Cause)), zap.Strings("ids", ids),
+		zap.Int("waiting", u.Count(serve.StageWaiting)), zap.Int("passedOn", u.Count(serve.StagePassedOn)),
+		zap.Int("answered", u.Count(serve.StageAnswered)), zap.Bool("stopping", stopping), zap.Duration("sinceStop", since)}
+	if u.Err != nil {
+		fields = append(fields, events.Cause(u.Err))
+	}
+	b.options.Log.Write(event, fields...)
+}
+
 // logTry writes one line for a try that brought no answer.
 func (b *Broker) logTry(j *job, u table.Upstream, v verdict, took time.Duration) {
 	b.options.Log.Write(events.TryFailed, zap.String("id", j.id), zap.String("service", j.service), zap.String("upstream", u.Name),
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -92,12 +92,21 @@
 	header.Set(d.Instance, u.Name)
 	r := j.request.HTTP
 	return &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
-		Body: j.request.Body, IDHeader: d.RequestID, ID: j.id, Idempotent: j.idempotent(), Fits: func() error { return j.fits(u) }}
+		Body: j.request.Body, IDHeader: d.RequestID, ID: j.id, Idempotent: j.idempotent(), Fits: func() error { return j.depart(u) }}
 }
 
 // errWithdrawn is the cause where an upstream's time ran out while a connection to it was made.
 var errWithdrawn = errors.New("the upstream leaves")
 
+// depart reports whether the request may be sent now, and notes that it is.
+func (j *job) depart(u table.Upstream) error {
+	if err := j.fits(u); err != nil {
+		return err
+	}
+	j.request.SetStage(serve.StagePassedOn)
+	return nil
+}
+
 // fits reports whether an upstream may still be sent the request; connecting to it may have taken a while.
 func (j *job) fits(u table.Upstream) error {
 	current, ok := j.broker.options.Table.View().Upstream(u.Number)
@@ -119,6 +128,7 @@
 			v = verdictAbandoned
 		}
 		j.sends--
+		j.request.SetStage(serve.StageWaiting)
 		j.end(u, v, took, nil)
 		j.avoid(u)
 		j.reason = ReasonNotReached
@@ -152,6 +162,7 @@
 	switch {
 	case notRun:
 		j.discard(got, cancel)
+		j.request.SetStage(serve.StageWaiting)
 		v := verdictTurnedAway
 		if got.Status == http.StatusMisdirectedRequest {
 			v = verdictAbandoned
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -13,6 +13,18 @@
 // errStopping ends the wait for a slot where the host stops.
 var errStopping = errors.New("the host stops")
 
+// BeginStop notes that the host was told to stop.
+func (b *Broker) BeginStop() { b.stopAt.CompareAndSwap(0, int64(b.options.Clock())) }
+
+// sinceStop returns how long ago the host was told to stop, if it was.
+func (b *Broker) sinceStop() (since time.Duration, stopping bool) {
+	at := time.Duration(b.stopAt.Load())
+	if at == 0 {
+		return 0, false
+	}
+	return b.options.Clock() - at, true
+}
+
 // StopWaiting turns away the requests that wait for a slot, now or later: a stop cannot outlast them. Requests at an upstream are
 // not touched.
 func (b *Broker) StopWaiting() { b.stopWaiting() }
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -9,6 +9,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
@@ -39,6 +40,8 @@
 	Tried(upstream uint32, failed bool, took time.Duration)
 	// Settled counts a request's final answer.
 	Settled(r Record)
+	// Unanswered counts requests whose caller's connection ended without their answers, by cause and by how far they were.
+	Unanswered(cause serve.Cause, stage serve.Stage, n int)
 }
 
 // Options describe an entry host's broker.
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -32,17 +32,24 @@
 	reader  *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelFunc
-	order   chan chan *Answer
+	order   chan *exchange
 	mutex   sync.Mutex
-	open    int
+	due     []*exchange
+	told    bool
 	decided bool
 	reading bool
 	closed  bool
 	ignored chan struct{}
 }
 
+// exchange is a request that was read and the place of its answer.
+type exchange struct {
+	request *Request
+	answer  chan *Answer
+}
+
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, limited: &limitedReader{from: raw}, order: make(chan chan *Answer, maxAhead)}
+	c := &conn{server: s, raw: raw, limited: &limitedReader{from: raw}, order: make(chan *exchange, maxAhead)}
 	c.reader = bufio.NewReaderSize(c.limited, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -70,30 +77,33 @@
 func (c *conn) read() {
 	for {
 		r, bad := c.next()
+		x := &exchange{request: r, answer: make(chan *Answer, 1)}
 		if bad != nil {
 			switch {
-			case bad.answer != nil && c.begin():
-				c.queue() <- bad.answer
+			case bad.answer != nil && c.begin(x):
+				c.order <- x
+				x.answer <- bad.answer
 				c.drainBriefly()
 			case bad.answer != nil:
 				c.ignoreRest()
 			case !c.isClosed():
-				c.cancel()
+				c.cut(CauseCallerClosed, nil)
 			}
 			return
 		}
-		if !c.begin() {
+		if !c.begin(x) {
 			c.ignoreRest()
 			return
 		}
 		ended := r.HTTP.Close || !r.HTTP.ProtoAtLeast(1, 1)
-		slot := c.queue()
+		c.order <- x
 		go func() {
 			a := c.server.options.Handler(c.ctx, r)
 			if a != nil && ended {
 				a.Close = true
 			}
-			slot <- a
+			r.SetStage(StageAnswered)
+			x.answer <- a
 		}()
 		if ended {
 			c.watchGone()
@@ -123,32 +133,26 @@
 	var one [1]byte
 	go func() {
 		if _, err := c.reader.Read(one[:]); err != nil && !c.isClosed() {
-			c.cancel()
+			c.cut(CauseCallerClosed, err)
 		}
 	}()
 }
 
-func (c *conn) queue() chan *Answer {
-	slot := make(chan *Answer, 1)
-	c.order <- slot
-	return slot
-}
-
 // begin counts a request that was read, unless the connection ends with an answer before it: the request then counts as not
 // read, and its caller sends it again. While the server stops, the answers that are still due are the last.
-func (c *conn) begin() bool {
+func (c *conn) begin(x *exchange) bool {
 	stopping := c.server.Stopping()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.reading = false
-	due := c.open
+	due := len(c.due)
 	if c.decided {
 		due--
 	}
 	if c.closed || stopping && due > 0 {
 		return false
 	}
-	c.open++
+	c.due = append(c.due, x)
 	return true
 }
 
@@ -164,7 +168,7 @@
 		defer close(c.ignored)
 		_, _ = io.Copy(io.Discard, c.reader)
 		if !c.isClosed() {
-			c.cancel()
+			c.cut(CauseCallerClosed, nil)
 		}
 	}()
 }
@@ -175,7 +179,7 @@
 	stopping := c.server.Stopping()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if a.Close || stopping && c.open == 1 {
+	if a.Close || stopping && len(c.due) == 1 {
 		c.closed = true
 	}
 	c.decided = !c.closed
@@ -185,7 +189,7 @@
 func (c *conn) end() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.open--
+	c.due = c.due[1:]
 	c.decided = false
 }
 
@@ -193,7 +197,7 @@
 func (c *conn) closeIfIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.open > 0 || c.reading || c.closed {
+	if len(c.due) > 0 || c.reading || c.closed {
 		return c.closed
 	}
 	c.closed = true
@@ -207,8 +211,8 @@
 	return c.closed
 }
 
-func (c *conn) abort() {
-	c.cancel()
+func (c *conn) abort(cause Cause, err error) {
+	c.cut(cause, err)
 	_ = c.raw.Close()
 }
 
@@ -261,7 +265,7 @@
 // awaitFirst waits for the first byte of a request, as long as a connection may be idle.
 func (c *conn) awaitFirst(limits Limits) *unread {
 	c.mutex.Lock()
-	busy := c.open > 0
+	busy := len(c.due) > 0
 	c.mutex.Unlock()
 	c.limited.left = limits.HeaderBytes + headerSlack
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
@@ -273,7 +277,7 @@
 		if isTimeout(err) && busy && !c.isClosed() {
 			_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 			c.mutex.Lock()
-			busy = c.open > 0
+			busy = len(c.due) > 0
 			c.mutex.Unlock()
 			continue
 		}
--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -9,12 +9,14 @@
 	"github.com/pkg/errors"
 )
 
-// Options describe a server. Refused hears of requests that were turned away before a handler saw them.
+// Options describe a server. Refused hears of requests that were turned away before a handler saw them, Unanswered of connections
+// that ended before all answers were written.
 type Options struct {
-	Handler Handler
-	Limits  func() Limits
-	Clock   func() time.Duration
-	Refused func(remote string, status int, reason string)
+	Handler    Handler
+	Limits     func() Limits
+	Clock      func() time.Duration
+	Refused    func(remote string, status int, reason string)
+	Unanswered func(u *Unanswered)
 }
 
 // Server takes callers' connections.
@@ -137,7 +139,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for c := range s.conns {
-		c.abort()
+		c.abort(CauseStopped, nil)
 	}
 }
 
--- a/internal/entry/serve/types.go
+++ b/internal/entry/serve/types.go
@@ -13,6 +13,7 @@
 	HTTP    *http.Request
 	Body    []byte
 	Arrived time.Duration
+	progress
 }
 
 // Answer is what a handler returns. A body that is not whole in Body continues in Rest, which is Length bytes long in all,
--- a/internal/entry/serve/write.go
+++ b/internal/entry/serve/write.go
@@ -12,12 +12,12 @@
 // whole, is the last.
 func (c *conn) write() {
 	last := false
-	for slot := range c.order {
+	for x := range c.order {
 		if last {
-			c.skip(slot)
+			c.skip(x)
 			continue
 		}
-		a := <-slot
+		a := <-x.answer
 		last = !c.writeOne(a)
 		c.end()
 		if last {
@@ -27,9 +27,9 @@
 }
 
 // skip waits for an answer that can no longer be written.
-func (c *conn) skip(slot chan *Answer) {
-	c.cancel()
-	if a := <-slot; a != nil && a.Done != nil {
+func (c *conn) skip(x *exchange) {
+	c.cut(CauseClosed, nil)
+	if a := <-x.answer; a != nil && a.Done != nil {
 		a.Done(false)
 	}
 	c.end()
@@ -38,7 +38,7 @@
 // writeOne writes one answer and reports whether the connection may go on.
 func (c *conn) writeOne(a *Answer) (goOn bool) {
 	if a == nil {
-		c.abort()
+		c.abort(CauseNoAnswer, nil)
 		return false
 	}
 	a.Close = c.endsWith(a)
@@ -47,7 +47,7 @@
 		a.Done(err == nil)
 	}
 	if err != nil {
-		c.abort()
+		c.abort(causeOf(err), err)
 		return false
 	}
 	return !a.Close
@@ -137,9 +137,9 @@
 		case readErr == io.EOF && left == 0:
 			return nil
 		case readErr == io.EOF:
-			return io.ErrUnexpectedEOF
+			return &errRest{io.ErrUnexpectedEOF}
 		case readErr != nil:
-			return readErr
+			return &errRest{readErr}
 		}
 	}
 }
--- a/internal/entry/tally/tally.go
+++ b/internal/entry/tally/tally.go
@@ -9,6 +9,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/entry/sketch"
 	"ebonyrill.dev/ebonyrill/internal/shared/burn"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -38,6 +39,7 @@
 	book     *burn.Book
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	cut      *prometheus.CounterVec
 }
 
 // New returns an empty tally whose metrics are registered.
@@ -47,7 +49,10 @@
 		Help: "Callers' requests by service, outcome and reason."}, []string{"service", "outcome", "reason"})
 	t.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ebonyrill_request_seconds",
 		Help: "Time from a request's arrival to its answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}, []string{"service"})
-	registry.MustRegister(t.requests, t.latency)
+	t.cut = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ebonyrill_unanswered_total",
+		Help: "Requests that were read and whose connection ended without their answers, by cause and by how far they were."},
+		[]string{"cause", "stage"})
+	registry.MustRegister(t.requests, t.latency, t.cut)
 	return t
 }
 
@@ -121,6 +126,13 @@
 	t.book.Add(r.Service, time.Now(), causeOf(r))
 }
 
+// Unanswered counts requests whose caller's connection ended without their answers.
+func (t *Tally) Unanswered(cause serve.Cause, stage serve.Stage, n int) {
+	if n > 0 {
+		t.cut.WithLabelValues(string(cause), stage.String()).Add(float64(n))
+	}
+}
+
 // causeOf tells what spoiled a request that was routed by items, if anything did.
 func causeOf(r broker.Record) burn.Cause {
 	switch {
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -270,6 +270,9 @@
 func (d *Daemon) drain(signals <-chan os.Signal) {
 	d.stopping.Store(true)
 	d.log.Write(events.Stopping)
+	if d.broker != nil {
+		d.broker.BeginStop()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainNotice()+d.settings.DrainBound())
 	defer cancel()
 	go func() {
