--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -78,11 +78,22 @@
 mutant durableBeforeAnswered $store/store.go '	return s.log.Sync()
 }
 
-// connectTail' '	return nil
+// finishSnapshot' '	return nil
 }
 
-// connectTail' $store TestRecordReadAfterAKill
-mutant durableNames $store/store.go 'return s.files.SyncFolder(s.folder)' 'return nil' $store TestJoinReadAfterAKill
+// finishSnapshot' $store TestRecordReadAfterAKill
+mutant durableNames $store/store.go '	if err = s.files.SyncFolder(s.folder); err != nil {
+		return err
+	}
+	return s.finishSnapshot()' '	return s.finishSnapshot()' $store TestJoinReadAfterAKill
+mutant finishedSnapshot $store/store.go 'return s.rewriteLog(s.hard, entriesBehind(s.tail, s.snapshot))' 's.tail = entriesBehind(s.tail, s.snapshot); return nil' $store 'TestEntriesSavedAfterACrash|TestWhatWasRead'
+mutant snapshotNameFirst $store/store.go '	if err = s.files.SyncFolder(s.folder); err != nil {
+		return err
+	}
+	return s.finishSnapshot()' '	if err = s.finishSnapshot(); err != nil {
+		return err
+	}
+	return s.files.SyncFolder(s.folder)' $store TestLogIsNotRewrittenBefore
 mutant corruptMiddle $store/store.go 'if wholeRecordBehind(data[offset:]) {' 'if false {' $store TestCorruptMiddle
 mutant outcomeKept internal/control/state/publish.go 'if known, ok := s.Outcome(p.ID); ok {' 'if known, ok := s.Outcome(p.ID); ok && false {' internal/control/state TestPublishOutcomes
 mutant compareAndSet internal/control/state/publish.go 'case p.Base != s.config.Version:' 'case false:' internal/control/state TestPublishOutcomes
--- a/internal/control/store/disk_test.go
+++ b/internal/control/store/disk_test.go
@@ -98,8 +98,13 @@
 // losePower drops what no sync has covered, or some of it.
 func (d *modelDisk) losePower() {
 	none := d.chance.upTo(2) == 0
+	d.losePowerBut(none, func(naming) bool { return !none && d.chance.upTo(1) == 1 })
+}
+
+// losePowerBut keeps chosen names that no sync has covered.
+func (d *modelDisk) losePowerBut(none bool, kept func(naming) bool) {
 	for _, n := range d.pending {
-		if !none && d.chance.upTo(1) == 1 {
+		if kept(n) {
 			n.apply(d.durable)
 		}
 	}
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -72,7 +72,10 @@
 			return err
 		}
 	}
-	return s.files.SyncFolder(s.folder)
+	if err = s.files.SyncFolder(s.folder); err != nil {
+		return err
+	}
+	return s.finishSnapshot()
 }
 
 // Bootstrap makes the folder part of a group that starts from the members; it is refused once the folder has joined.
@@ -282,7 +285,6 @@
 		offset += r.size
 	}
 	s.logBytes = int64(offset)
-	s.connectTail()
 	if offset < len(data) {
 		if wholeRecordBehind(data[offset:]) {
 			return &ErrCorrupt{File: path, Offset: offset}
@@ -294,12 +296,14 @@
 	return s.log.Sync()
 }
 
-// connectTail drops entries that the snapshot replaced; a crash may have come before the log was rewritten.
-func (s *Store) connectTail() {
-	if len(s.tail) > 0 && s.tail[0].Index == s.snapshot.Index+1 {
-		return
+// finishSnapshot rewrites a log that the process had no time to rewrite after it put a snapshot in place. Entries that were
+// appended to the old log behind ones that the snapshot has replaced would be dropped with those at the next start. The
+// snapshot's name must be durable before: it takes the place of what the log loses.
+func (s *Store) finishSnapshot() (err error) {
+	if len(s.tail) == 0 || s.tail[0].Index == s.snapshot.Index+1 {
+		return nil
 	}
-	s.tail = entriesBehind(s.tail, s.snapshot)
+	return s.rewriteLog(s.hard, entriesBehind(s.tail, s.snapshot))
 }
 
 func (s *Store) replay(r record) (err error) {
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// TestEntriesSavedAfterACrashInASnapshotAreKept starts between snapshot and log, where the log did not reach the snapshot, and
+// saves entries; they were synced behind the old log's and dropped with it at the next start.
+func TestEntriesSavedAfterACrashInASnapshotAreKept(t *testing.T) {
+	c := qt.New(t)
+	folder, _ := mustFill(c)
+	s := mustOpen(c, folder)
+	c.Assert(s.writeSnapshot(agree.Snapshot{Index: 90, Term: 9}), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	s = mustOpen(c, folder)
+	c.Assert(s.Save(&agree.HardState{Term: 9}, []agree.Entry{entry(91, 9)}), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	assertTail(c, mustOpen(c, folder), 91, 9)
+}
+
 func TestOverwrittenEntriesStayOverwritten(t *testing.T) {
 	c := qt.New(t)
 	folder, _ := mustFill(c)
