conns: an upstream's head is bounded

Cause: heads of answers were read by http.ReadResponse straight from the connection, which takes bytes until a line or the head ends, however many there are.

What callers saw: an upstream that writes a status line or a header without end made the entry host grow until it was killed (184 MB are its limit), and everybody's requests went with it.

Change: bound.MaxAnswerHead (16 KiB, the size that the site gives callers' heads) limits what is read for one head. A longer head is no answer: another try or 502 unknown, the connection closed, the upstream failed, 3206 with the cause.

Ruled out: interim heads, chunk lengths and extensions, trailers and answers to others were bounded before; the tests hold it now (bytes taken from the socket).

Without the limit TestEndlessHeadIsBounded fails for the status line, header line, header lines, continued line, no line and interim head, on new and used connections (8 MiB taken, which is where the test stops), TestEndlessHeadsAtOnceKeepMemory (378 MB, each stopped at 128 KiB) and TestHeadUpToItsLimitIsTaken. Mutant answerHead.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -118,6 +118,7 @@
 mutant withdrawnFromLeaving $broker/run.go 'if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {' 'if false && (!ok || !j.broker.mayServe(j.broker.options.Clock(), current)) {' $broker TestNothingIsSentToOneThatLeftMeanwhile
 mutant waitingAtStop $broker/stop.go 'cancel(errStopping)' '_ = cancel' $broker TestStopTurnsAwayThoseWhoWait
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
+mutant answerHead $conns/exchange.go 'x.conn.limited.Allow(bound.MaxAnswerHead)' 'x.conn.limited.Allow(bound.Unlimited)' $conns 'TestEndlessHeadIsBounded|TestEndlessHeadsAtOnceKeepMemory'
 mutant stopOfBusyConnections $serve/conn.go 'if c.closed || stopping && due > 0 {' 'if c.closed || stopping && due > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- /dev/null
+++ b/internal/entry/bound/doc.go
@@ -0,0 +1,2 @@
+// Package bound limits how many bytes are read from a peer.
+package bound
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -44,12 +44,19 @@
 
 // records keeps what the broker told of requests.
 type records struct {
-	mutex sync.Mutex
-	list  []Record
+	mutex  sync.Mutex
+	list   []Record
+	failed int
 }
 
-func (r *records) Arrived(string, uint64, uint64)       {}
-func (r *records) Tried(uint32, bool, time.Duration)    {}
+func (r *records) Arrived(string, uint64, uint64) {}
+func (r *records) Tried(_ uint32, failed bool, _ time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if failed {
+		r.failed++
+	}
+}
 func (r *records) Settled(x Record)                     { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
 func (r *records) last() Record                         { r.mutex.Lock(); defer r.mutex.Unlock(); return r.list[len(r.list)-1] }
 func answerWell(w http.ResponseWriter, r *http.Request) { answer(w, r, http.StatusOK, "body") }
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
 )
 
 // Bounds of answers.
@@ -73,6 +75,9 @@
 // Unwrap returns the cause.
 func (e *ErrUnanswered) Unwrap() error { return e.Cause }
 
+// errLongHead is the cause when an answer's head does not end within its limit.
+var errLongHead = errors.Errorf("the answer's head is longer than %d bytes", bound.MaxAnswerHead)
+
 // errForeign is the cause when only answers to other requests came.
 var errForeign = errors.New("the answer belongs to another request")
 
@@ -178,7 +183,7 @@
 func (x *exchange) answer() (a *Answer, err error) {
 	request := &http.Request{Method: x.call.Method, URL: &url.URL{}}
 	for range maxForeign {
-		r, err := http.ReadResponse(x.conn.reader, request)
+		r, err := x.readHead(request)
 		if err != nil {
 			return nil, errors.WithMessage(err, "read answer")
 		}
@@ -196,6 +201,17 @@
 	return nil, errForeign
 }
 
+// readHead reads the head of the next answer; its body is read from the connection as the answer is taken.
+func (x *exchange) readHead(request *http.Request) (r *http.Response, err error) {
+	x.conn.limited.Allow(bound.MaxAnswerHead)
+	defer x.conn.limited.Allow(bound.Unlimited)
+	r, err = http.ReadResponse(x.conn.reader, request)
+	if err != nil && x.conn.limited.Spent() {
+		return nil, errLongHead
+	}
+	return r, err
+}
+
 // foreign reports whether an answer names another request; one that names none is taken only as the first on a connection.
 func (x *exchange) foreign(r *http.Response) bool {
 	id := r.Header.Get(x.call.IDHeader)
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -5,10 +5,13 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
 )
 
 // Times and bounds of connections to upstreams.
@@ -26,6 +29,7 @@
 // Conn is one connection to an upstream.
 type Conn struct {
 	raw     net.Conn
+	limited *bound.Reader
 	reader  *bufio.Reader
 	key     string
 	idleAt  time.Time
@@ -41,10 +45,12 @@
 	dials  int64
 	reuses int64
 	rests  rests
+	// connect opens a connection.
+	connect func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}, connect: connect} }
 
 // Counts returns how many connections were opened and how often one was used again.
 func (p *Pool) Counts() (dials, reuses int64) {
@@ -91,19 +97,25 @@
 	p.mutex.Lock()
 	p.dials++
 	p.mutex.Unlock()
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probePeriod, Interval: probePeriod, Count: probeCount}}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, errors.WithMessage(err, "connect to upstream")
 	}
 	limitUnacknowledged(raw)
-	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, answerBuffer), key: key, idleFor: time.Duration(float64(defaultIdle) * idleShare)}, nil
+	limited := bound.NewReader(raw)
+	return &Conn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, answerBuffer), key: key,
+		idleFor: time.Duration(float64(defaultIdle) * idleShare)}, nil
+}
+
+func connect(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probePeriod, Interval: probePeriod, Count: probeCount}}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // limitUnacknowledged bounds how long sent bytes may stay unacknowledged; without it a partition shows only after minutes.
 // Where the system refuses the option the deadlines of exchanges still hold.
 func limitUnacknowledged(raw net.Conn) {
-	tcp, ok := raw.(*net.TCPConn)
+	tcp, ok := raw.(syscall.Conn)
 	if !ok {
 		return
 	}
@@ -172,7 +184,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.raw.(*net.TCPConn)
+	tcp, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
 )
 
 // Bounds of one connection.
@@ -28,7 +29,7 @@
 type conn struct {
 	server  *Server
 	raw     net.Conn
-	limited *limitedReader
+	limited *bound.Reader
 	reader  *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -42,7 +43,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, limited: &limitedReader{from: raw}, order: make(chan chan *Answer, maxAhead)}
+	c := &conn{server: s, raw: raw, limited: bound.NewReader(raw), order: make(chan chan *Answer, maxAhead)}
 	c.reader = bufio.NewReaderSize(c.limited, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -106,7 +107,7 @@
 // before the caller has read the answer.
 func (c *conn) drainBriefly() {
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
-	c.limited.left = lingerBytes
+	c.limited.Allow(lingerBytes)
 	_, _ = io.Copy(io.Discard, c.reader)
 }
 
@@ -119,7 +120,7 @@
 // watchGone waits until the caller closes or the answers are written, as no more requests are read.
 func (c *conn) watchGone() {
 	_ = c.raw.SetReadDeadline(time.Time{})
-	c.limited.left = 1
+	c.limited.Allow(1)
 	var one [1]byte
 	go func() {
 		if _, err := c.reader.Read(one[:]); err != nil && !c.isClosed() {
@@ -155,7 +156,7 @@
 // ignoreRest reads on behind the last request that is taken in, so that the caller's end is seen and closing resets nothing.
 func (c *conn) ignoreRest() {
 	c.ignored = make(chan struct{})
-	c.limited.left = math.MaxInt64
+	c.limited.Allow(bound.Unlimited)
 	_ = c.raw.SetReadDeadline(time.Time{})
 	if c.isClosed() {
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
@@ -232,12 +233,12 @@
 	if bad = c.awaitFirst(limits); bad != nil {
 		return nil, bad
 	}
-	c.limited.left = limits.HeaderBytes + headerSlack
+	c.limited.Allow(limits.HeaderBytes + headerSlack)
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	arrived := c.server.options.Clock()
 	request, err := http.ReadRequest(c.reader)
 	switch {
-	case err != nil && c.limited.left <= 0:
+	case err != nil && c.limited.Spent():
 		return nil, c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 	case err != nil && isTimeout(err):
 		return nil, c.refuse(http.StatusRequestTimeout, "the header did not come in time")
@@ -263,7 +264,7 @@
 	c.mutex.Lock()
 	busy := c.open > 0
 	c.mutex.Unlock()
-	c.limited.left = limits.HeaderBytes + headerSlack
+	c.limited.Allow(limits.HeaderBytes + headerSlack)
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	for {
 		_, err := c.reader.Peek(1)
@@ -300,7 +301,7 @@
 			return nil, &unread{}
 		}
 	}
-	c.limited.left = limits.BodyBytes + headerSlack + readBuffer
+	c.limited.Allow(limits.BodyBytes + headerSlack + readBuffer)
 	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
 	var buffer bytes.Buffer
 	if r.ContentLength > 0 {
@@ -339,24 +340,3 @@
 	var op *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
-
-// limitedReader reads until its allowance is used up.
-type limitedReader struct {
-	from io.Reader
-	left int64
-}
-
-// Read reads at most what is left.
-func (l *limitedReader) Read(b []byte) (n int, err error) {
-	if l.left <= 0 {
-		return 0, errTooMuch
-	}
-	if int64(len(b)) > l.left {
-		b = b[:l.left]
-	}
-	n, err = l.from.Read(b)
-	l.left -= int64(n)
-	return n, err
-}
-
-var errTooMuch = errors.New("more bytes than allowed")
