conns: the body of another's answer is skipped whole or not at all

Cause: of an answer to another request up to 64 KiB were skipped, and whatever came next was read as the next answer, also if the skipped body was longer. Of a body in chunks that ends right there the last chunk stayed unread.

What callers saw: bytes out of another's answer could come back as the answer to their own request, if they looked like one. And a sound answer behind another's of exactly 64 KiB in chunks was lost as malformed.

Change: an answer to another request that does not end within 64 KiB ends the exchange and its connection.

Measured: TestBodyOfAnothersAnswerIsNoAnswer fails on the old code in both ways (the caller gets the text in the other's body with no error; `malformed HTTP response ""`), and passes now, three times under the race detector.

--- a/internal/entry/conns/conns_test.go
+++ b/internal/entry/conns/conns_test.go
@@ -142,6 +142,33 @@
 	}
 }
 
+// TestBodyOfAnothersAnswerIsNoAnswer holds that what stands in a long answer to another request is never taken for an answer of
+// its own, and that a skipped answer may be as long as one that is read whole.
+func TestBodyOfAnothersAnswerIsNoAnswer(t *testing.T) {
+	cases := []struct{ name, others, body string }{
+		{"longer than is skipped", reply("z", strings.Repeat("x", wholeAnswer)+reply("a", "smuggled")), ""},
+		{"as long as is skipped", reply("z", strings.Repeat("x", wholeAnswer)), "body"},
+		{"in chunks", "HTTP/1.1 200 OK\r\nId: z\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" + strings.Repeat("x", wholeAnswer) + "\r\n0\r\n\r\n", "body"},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			u := newUpstream(t, func(c net.Conn, r *bufio.Reader, _ int64) {
+				if _, ok := request(r); ok {
+					_, _ = io.WriteString(c, v.others+reply("a", "body"))
+					_, _ = r.ReadByte()
+				}
+			})
+			a, err := NewPool().Do(context.Background(), call(u.address, "a"))
+			if v.body == "" {
+				qt.Assert(t, errors.Is(err, errForeign), qt.IsTrue, qt.Commentf("%v", err))
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(a.Body), qt.Equals, v.body)
+		})
+	}
+}
+
 // TestNotSentHasProof holds that only a request of which no byte went out counts as not sent.
 func TestNotSentHasProof(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -191,7 +191,7 @@
 			continue
 		}
 		if x.foreign(r) {
-			if _, err = io.Copy(io.Discard, io.LimitReader(r.Body, wholeAnswer)); err != nil {
+			if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, wholeAnswer+1)); err != nil || n > wholeAnswer {
 				return nil, errForeign
 			}
 			continue
