--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -120,6 +120,9 @@
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
 mutant answerHead $conns/exchange.go 'x.conn.limited.Allow(bound.MaxAnswerHead)' 'x.conn.limited.Allow(bound.Unlimited)' $conns 'TestEndlessHeadIsBounded|TestEndlessHeadsAtOnceKeepMemory'
 mutant skippedWhole $conns/exchange.go ' || n > wholeAnswer {' ' || n < 0 {' $conns TestBodyOfAnothersAnswerIsNoAnswer
+mutant quietRests $conns/pool.go ' && c.quiet() {
+				fresh' ' {
+				fresh' $conns TestBytesBehindAnAnswerEndItsConnection
 mutant stopOfBusyConnections $serve/conn.go 'if c.closed || stopping && due > 0 {' 'if c.closed || stopping && due > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/conns/endless_test.go
+++ b/internal/entry/conns/endless_test.go
@@ -282,3 +282,42 @@
 		})
 	}
 }
+
+// TestBytesBehindAnAnswerEndItsConnection holds that an answer is taken whatever comes behind it, and that its connection is closed
+// rather than kept: at once if the bytes are there, and while it rests if they come later.
+func TestBytesBehindAnAnswerEndItsConnection(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			u := newUpstream(t, func(c net.Conn, r *bufio.Reader, _ int64) {
+				if _, ok := request(r); !ok {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=3600\r\nContent-Length: 4\r\n\r\nbody")
+				time.Sleep(pause)
+				writeOn(c, "", "x", 0)
+				close(closed)
+			})
+			p, taken := countingPool(8 << 20)
+			a, err := p.Do(context.Background(), call(u.address, "a"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(a.Body), qt.Equals, "body")
+			awaitSwept(t, p, closed)
+			qt.Check(t, taken.Load() <= 2*answerBuffer, qt.IsTrue, qt.Commentf("%d bytes taken", taken.Load()))
+		})
+	}
+}
+
+// awaitSwept sweeps until a connection that upstreams say they keep for an hour is closed.
+func awaitSwept(t *testing.T, p *Pool, closed chan struct{}) {
+	t.Helper()
+	for range 500 {
+		select {
+		case <-closed:
+			return
+		case <-time.After(10 * time.Millisecond):
+			p.Sweep(func(string) bool { return true })
+		}
+	}
+	t.Error("the connection stays open")
+}
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -152,14 +152,16 @@
 	}
 }
 
-// Sweep closes the connections that have rested too long and forgets upstreams that are not in the list.
+// Sweep closes the connections that have rested too long or on which something came, and forgets upstreams that are not in the
+// list. What an upstream sends unasked would stay in the system's buffers for as long as the connection rests.
 func (p *Pool) Sweep(keep func(key string) bool) {
 	p.mutex.Lock()
 	var ended []*Conn
 	for key, list := range p.idle {
 		var fresh []*Conn
 		for _, c := range list {
-			if keep(key) && time.Since(c.idleAt) < c.idleFor && p.rests.allow(time.Now(), time.Since(c.idleAt)) {
+			rested := time.Since(c.idleAt)
+			if keep(key) && rested < c.idleFor && p.rests.allow(time.Now(), rested) && c.quiet() {
 				fresh = append(fresh, c)
 			} else {
 				ended = append(ended, c)
