broker: an answer that is passed on while it comes has the whole time

Cause: the first try of an idempotent request that may be repeated has 55% of the time left, so that a second fits. The end of that time closed the connection also when the answer had begun and was being passed on, from where nothing can be asked again.

What callers saw: a long answer (over 64 KiB) that took more than 55% of their time broke off, though there was time left.

Change: the limit of the first try ends once the start of a long answer is there; the request's own time stays. An answer that comes in the moment in which the first try ends counts as not come. A try's context says by its cause that its time was over.

Mutant wholeTimeOfStream.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -123,6 +123,7 @@
 mutant quietRests $conns/pool.go ' && c.quiet() {
 				fresh' ' {
 				fresh' $conns TestBytesBehindAnAnswerEndItsConnection
+mutant wholeTimeOfStream $broker/run.go 'return tryCtx, cancel, timer.Stop' 'return tryCtx, cancel, func() bool { return true }' $broker TestLongAnswerHasTheWholeTime
 mutant stopOfBusyConnections $serve/conn.go 'if c.closed || stopping && due > 0 {' 'if c.closed || stopping && due > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -429,3 +429,24 @@
 	f.c.Check(len(a.Body)+len(rest), qt.Equals, length)
 	a.Done(true)
 }
+
+// TestLongAnswerHasTheWholeTime holds that an answer that is passed on while it comes is not cut where a first try would give way
+// to a second.
+func TestLongAnswerHasTheWholeTime(t *testing.T) {
+	const part, parts = 16 << 10, 13
+	f := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(part*parts))
+		answer(w, r, http.StatusOK, "")
+		for range parts {
+			_, _ = io.WriteString(w, strings.Repeat("x", part))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}}, nil)
+	a := f.ask("/look/x", func(r *http.Request) { r.Header.Set("Left", "30000") })
+	f.c.Assert(a.Rest, qt.IsNotNil)
+	rest, err := io.ReadAll(a.Rest)
+	f.c.Check(err, qt.IsNil)
+	f.c.Check(len(a.Body)+len(rest), qt.Equals, part*parts)
+	a.Done(true)
+}
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -52,10 +52,7 @@
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return j.outOfTime(ctx), false
 	}
-	tryCtx, cancel := ctx, context.CancelFunc(func() {})
-	if j.idempotent() && !j.keyed && j.attempts == 0 && j.match.Route.MaxAttempts > 1 {
-		tryCtx, cancel = context.WithTimeout(ctx, max(time.Duration(firstTryShare*float64(left)), j.match.Route.Objective))
-	}
+	tryCtx, cancel, keep := j.timeOfTry(ctx, left)
 	b.stock.begin(now, u)
 	j.upstream = u.Name
 	j.sends++
@@ -63,6 +60,10 @@
 	j.spent = false
 	got, err := b.pool.Do(tryCtx, j.call(u, left))
 	took := b.options.Clock() - now
+	if err == nil && got.Rest != nil && !keep() {
+		got.End(false)
+		err = &conns.ErrUnanswered{Cause: context.DeadlineExceeded}
+	}
 	if err != nil {
 		defer cancel()
 		j.spent = repeat && isNotSent(err)
@@ -71,6 +72,21 @@
 	return j.answered(u, took, got, cancel)
 }
 
+// timeOfTry returns the context of a try: a first one that may be repeated has a part of the time. An answer that is passed on
+// while it comes cannot be asked for again, so that keep gives it the whole time, and reports whether it came soon enough.
+func (j *job) timeOfTry(ctx context.Context, left time.Duration) (tryCtx context.Context, cancel context.CancelFunc, keep func() bool) {
+	if !j.idempotent() || j.keyed || j.attempts > 0 || j.match.Route.MaxAttempts <= 1 {
+		return ctx, func() {}, func() bool { return true }
+	}
+	tryCtx, end := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(max(time.Duration(firstTryShare*float64(left)), j.match.Route.Objective), func() { end(context.DeadlineExceeded) })
+	cancel = func() {
+		timer.Stop()
+		end(nil)
+	}
+	return tryCtx, cancel, timer.Stop
+}
+
 // giveBack takes back a repeat that was counted and not sent.
 func (j *job) giveBack() {
 	if j.spent {
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -107,7 +107,7 @@
 		p.noteBroken(c, err)
 		x.finish(false)
 		if ctx.Err() != nil {
-			return nil, x.failure(ctx.Err())
+			return nil, x.failure(context.Cause(ctx))
 		}
 		return nil, x.failure(err)
 	}
