--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -44,12 +44,19 @@
 
 // records keeps what the broker told of requests.
 type records struct {
-	mutex sync.Mutex
-	list  []Record
+	mutex  sync.Mutex
+	list   []Record
+	failed int
 }
 
-func (r *records) Arrived(string, uint64, uint64)           {}
-func (r *records) Tried(uint32, bool, time.Duration)        {}
+func (r *records) Arrived(string, uint64, uint64) {}
+func (r *records) Tried(_ uint32, failed bool, _ time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if failed {
+		r.failed++
+	}
+}
 func (r *records) Unanswered(serve.Cause, serve.Stage, int) {}
 func (r *records) Settled(x Record)                         { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
 func (r *records) last() Record                             { r.mutex.Lock(); defer r.mutex.Unlock(); return r.list[len(r.list)-1] }
@@ -423,3 +430,24 @@
 	f.c.Check(len(a.Body)+len(rest), qt.Equals, length)
 	a.Done(true)
 }
+
+// TestLongAnswerHasTheWholeTime holds that an answer that is passed on while it comes is not cut where a first try would give way
+// to a second.
+func TestLongAnswerHasTheWholeTime(t *testing.T) {
+	const part, parts = 16 << 10, 13
+	f := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(part*parts))
+		answer(w, r, http.StatusOK, "")
+		for range parts {
+			_, _ = io.WriteString(w, strings.Repeat("x", part))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}}, nil)
+	a := f.ask("/look/x", func(r *http.Request) { r.Header.Set("Left", "30000") })
+	f.c.Assert(a.Rest, qt.IsNotNil)
+	rest, err := io.ReadAll(a.Rest)
+	f.c.Check(err, qt.IsNil)
+	f.c.Check(len(a.Body)+len(rest), qt.Equals, part*parts)
+	a.Done(true)
+}
