group: control hosts that the deployment does not count get no vote

Any caught-up host got a vote, and took the vote of one that was unheard for 1.8 s. The deployment bounds only the losses of the hosts that it counts; any number of others may be lost beside them. With one of these among five voters, it and two counted hosts leave no majority, and may take all disks of an acknowledged entry with them.

A host tells its settings once after each start, so that a change is noticed; a voter that is no longer counted gives its vote up to a caught-up learner. A group whose leader is not counted itself tells none apart.

--- a/internal/control/agree/members.go
+++ b/internal/control/agree/members.go
@@ -10,6 +10,8 @@
 	Address    string    `cbor:"2,keyasint" json:"address"`
 	DataCentre string    `cbor:"3,keyasint" json:"dataCentre"`
 	Voter      bool      `cbor:"4,keyasint" json:"voter"`
+	// StandsBy tells that the replica may be lost beside those that the group is to survive, so that it is not to vote.
+	StandsBy bool `cbor:"5,keyasint,omitempty" json:"standsBy,omitempty"`
 }
 
 // Members is the group's configuration, ordered by replica identity.
@@ -56,6 +58,16 @@
 	return n
 }
 
+// StandBy counts the replicas that are not to vote.
+func (m Members) StandBy() (n int) {
+	for _, r := range m {
+		if r.StandsBy {
+			n++
+		}
+	}
+	return n
+}
+
 // Quorum is the smallest number of voters that is a majority.
 func (m Members) Quorum() int { return m.Voters()/2 + 1 }
 
--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -32,6 +32,8 @@
 	Found bool
 	// Voters is how many hosts are to vote; others stand by.
 	Voters int
+	// StandsBy tells that this host may be lost beside those that the group is to survive: it gets no vote.
+	StandsBy bool
 }
 
 // applicant is a control host that asks to be taken in.
@@ -42,9 +44,10 @@
 
 // former is what a control host knows of others before it belongs to a group.
 type former struct {
-	mutex sync.Mutex
-	seeds []string
-	known []string
+	mutex      sync.Mutex
+	seeds      []string
+	known      []string
+	introduced bool
 }
 
 // SetSeeds changes the addresses that are asked for the group, as settings have changed.
@@ -83,8 +86,7 @@
 		if g.store.Joined() {
 			return
 		}
-		self := agree.Replica{ID: g.store.ID(), Address: g.options.Address, DataCentre: g.options.DataCentre, Voter: true}
-		_, err := g.bootstrapNow(agree.NewMembers(self))
+		_, err := g.bootstrapNow(agree.NewMembers(g.founder()))
 		if err != nil {
 			g.options.Log.Write(events.ProposalLost, events.Cause(err))
 			return
@@ -96,21 +98,34 @@
 	}
 }
 
-// outside reports whether this host belongs to no group, or has heard of no leader for long.
+// founder returns the only member of a group that this host starts.
+func (g *Group) founder() agree.Replica {
+	return agree.Replica{ID: g.store.ID(), Address: g.options.Address, DataCentre: g.options.DataCentre, Voter: true,
+		StandsBy: g.options.Forming.StandsBy}
+}
+
+// outside reports whether this host belongs to no group or has heard of no leader for long, or has not told the group its
+// settings since it started.
 func (g *Group) outside(ctx context.Context) (outside bool) {
-	err := g.do(ctx, func() {
-		outside = g.core == nil || g.core.LeaderID() == 0 && g.now()-g.ledAt > orphanTime
-	})
+	if !g.former.isIntroduced() {
+		return true
+	}
+	err := g.do(ctx, func() { outside = g.outsideNow() })
 	return err == nil && outside
 }
 
+func (g *Group) outsideNow() bool {
+	return g.core == nil || g.core.LeaderID() == 0 && g.now()-g.ledAt > orphanTime
+}
+
 // askToEnrol tells every control host it knows that this one stands ready.
 func (g *Group) askToEnrol(ctx context.Context) {
 	var identity *oper.Identity
 	if g.do(ctx, func() { identity = g.identity() }) != nil {
 		return
 	}
-	g.options.Log.Write(events.Enrolled, zap.Uint64("replica", identity.ID), zap.Bool("joined", identity.Joined))
+	g.options.Log.Write(events.Enrolled, zap.Uint64("replica", identity.ID), zap.Bool("joined", identity.Joined),
+		zap.Bool("standsBy", identity.StandsBy))
 	var wait sync.WaitGroup
 	for _, address := range g.acquaintances() {
 		wait.Go(func() { g.enrolAt(ctx, address, identity) })
@@ -143,7 +158,13 @@
 func (g *Group) meet(addresses []string) {
 	g.former.mutex.Lock()
 	defer g.former.mutex.Unlock()
-	g.former.known = slices.Clone(addresses)
+	g.former.known, g.former.introduced = slices.Clone(addresses), true
+}
+
+func (f *former) isIntroduced() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.introduced
 }
 
 // enrol notes a control host that asks to be taken in, at the leader.
@@ -156,16 +177,21 @@
 		return nil, &oper.ErrRefused{Reason: "operators choose the members of this group"}
 	}
 	err = g.read(ctx, func(l *lead) error {
-		l.applicants[agree.ReplicaID(i.ID)] = applicant{identity: *i, at: g.now()}
-		answer = &oper.EnrolAnswer{}
-		for _, m := range g.core.Members() {
-			answer.Addresses = append(answer.Addresses, m.Address)
-		}
+		answer = g.enrolNow(l, i)
 		return nil
 	})
 	return answer, err
 }
 
+func (g *Group) enrolNow(l *lead, i *oper.Identity) (answer *oper.EnrolAnswer) {
+	l.applicants[agree.ReplicaID(i.ID)] = applicant{identity: *i, at: g.now()}
+	answer = &oper.EnrolAnswer{}
+	for _, m := range g.core.Members() {
+		answer.Addresses = append(answer.Addresses, m.Address)
+	}
+	return answer
+}
+
 // reviewMembers takes the next step of membership that is due: take an applicant in, give it a vote, or let it replace a
 // member that is gone. One step at a time, each committed before the next.
 func (g *Group) reviewMembers(now time.Duration) {
@@ -193,7 +219,11 @@
 			delete(l.applicants, id)
 			continue
 		}
-		if _, in := members.Find(id); in {
+		if member, in := members.Find(id); in {
+			if member.StandsBy != a.identity.StandsBy {
+				member.StandsBy = a.identity.StandsBy
+				return members.With(member), "the settings of the host at " + member.Address + " have changed"
+			}
 			continue
 		}
 		if old, ok := memberAt(members, a.identity.Address); ok {
@@ -202,17 +232,17 @@
 			}
 			continue
 		}
-		return members.With(agree.Replica{ID: id, Address: a.identity.Address, DataCentre: a.identity.DataCentre}), "a host asks to be taken in"
+		return members.With(agree.Replica{ID: id, Address: a.identity.Address, DataCentre: a.identity.DataCentre,
+			StandsBy: a.identity.StandsBy}), "a host asks to be taken in"
 	}
 	return l.promotion(now, g, members)
 }
 
-// promotion gives a caught-up learner a vote where one is wanted, and takes it from a member that is gone for long where a
-// learner stands by.
+// promotion gives a caught-up learner a vote where one is wanted, and takes it from a member that gives way where a learner is
+// to follow.
 func (l *lead) promotion(now time.Duration, g *Group, members agree.Members) (next agree.Members, reason string) {
 	for _, m := range members {
-		ready := !m.Voter && g.core.HeardWithin(now, m.ID, heardPeriod) && g.core.MatchIndex(m.ID) >= g.core.CommitIndex()
-		if !ready {
+		if m.Voter || !g.mayVote(m) || !g.caughtUp(now, m) {
 			continue
 		}
 		if members.Voters() < g.options.Forming.Voters {
@@ -220,16 +250,29 @@
 			return members.With(m), "a learner is caught up"
 		}
 		for _, old := range members {
-			gone := old.Voter && old.ID != g.core.ID() && !g.core.HeardWithin(now, old.ID, deadTime)
-			if gone && g.canLose(now, members, old.ID) {
-				g.options.Log.Write(events.MemberReplaced, zap.String("address", old.Address))
-				return members.Without(old.ID), "a voter is gone for long"
+			if g.givesWay(now, old) && g.canLose(now, members, old.ID) {
+				g.options.Log.Write(events.MemberReplaced, zap.String("address", old.Address), zap.Bool("standsBy", old.StandsBy))
+				return members.Without(old.ID), "a voter gives way"
 			}
 		}
 	}
 	return nil, ""
 }
 
+// caughtUp reports whether a member is heard and holds all that is committed.
+func (g *Group) caughtUp(now time.Duration, m agree.Replica) bool {
+	return g.core.HeardWithin(now, m.ID, heardPeriod) && g.core.MatchIndex(m.ID) >= g.core.CommitIndex()
+}
+
+// mayVote reports whether a member may be given a vote. One that is lost beside those that the group is to survive would make
+// a majority of disks that may all be lost; where the founder is such a host, none is told apart.
+func (g *Group) mayVote(m agree.Replica) bool { return !m.StandsBy || g.options.Forming.StandsBy }
+
+// givesWay reports whether a voter is to make room for a learner: it is gone for long, or should not have a vote.
+func (g *Group) givesWay(now time.Duration, m agree.Replica) bool {
+	return m.Voter && m.ID != g.core.ID() && (!g.mayVote(m) || !g.core.HeardWithin(now, m.ID, deadTime))
+}
+
 func memberAt(members agree.Members, address string) (found agree.Replica, ok bool) {
 	for _, m := range members {
 		if m.Address == address {
--- a/internal/control/group/form_test.go
+++ b/internal/control/group/form_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -60,6 +61,22 @@
 	c.Check(next, qt.HasLen, 0, qt.Commentf("the leader never takes itself out"))
 }
 
+// TestHostThatIsNoLongerCountedGivesItsVoteUp lets a voter say after a restart that its settings do not count it any more.
+func TestHostThatIsNoLongerCountedGivesItsVoteUp(t *testing.T) {
+	c := qt.New(t)
+	w := newFormingWorld(2, 6, 0)
+	c.Assert(w.settleVoters(10*time.Second), qt.IsTrue)
+	changed := w.countedVoter()
+	changed.crash()
+	changed.standsBy = true
+	changed.start()
+	changed.enrol()
+	w.run(w.now + 3*time.Second)
+	c.Assert(w.voters(), qt.HasLen, 5)
+	c.Assert(slices.Contains(w.voters(), changed.name), qt.IsFalse)
+	c.Assert(w.broken, qt.HasLen, 0)
+}
+
 // silentSender brings nothing anywhere.
 type silentSender struct{}
 
--- a/internal/control/group/members.go
+++ b/internal/control/group/members.go
@@ -57,6 +57,9 @@
 		if !found || member.Voter {
 			return 0, doneOrMissing(found, r.ID)
 		}
+		if !g.mayVote(member) {
+			return 0, &oper.ErrRefused{Reason: "the host's settings do not count it among those that vote"}
+		}
 		if g.core.MatchIndex(id) < g.core.CommitIndex() {
 			return 0, &oper.ErrRefused{Reason: "the learner does not hold every committed entry yet"}
 		}
@@ -112,7 +115,7 @@
 
 func (g *Group) noteMembers(next agree.Members, reason string) {
 	g.options.Log.Write(events.MembersChanged, zap.String("reason", reason), zap.Int("members", len(next)),
-		zap.Int("voters", next.Voters()), zap.Int("quorum", next.Quorum()))
+		zap.Int("voters", next.Voters()), zap.Int("quorum", next.Quorum()), zap.Int("standBy", next.StandBy()))
 }
 
 // awaitApplied waits until the index is applied here.
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -30,6 +30,7 @@
 	served    int
 	publishes int
 	nextID    uint64
+	forming   Forming
 }
 
 // effect is the last thing done to a key.
@@ -57,6 +58,7 @@
 	life      int
 	down      bool
 	dropSends bool
+	standsBy  bool
 }
 
 func (w *world) breach(format string, values ...any) {
@@ -74,8 +76,10 @@
 
 var worldFile = conf.File{Name: "frames.ebonyrill.ini", Text: "[service]\nname = frames\nprefix = /frames\nkey = path:2\nslices = 12\n"}
 
+func defaultTerms() grant.Terms { return grant.NewTerms(time.Second, 600*time.Millisecond) }
+
 func newWorld(o worldOptions) *world {
-	w := &world{stage: newStage(o.seed), terms: grant.NewTerms(time.Second, 600*time.Millisecond), effects: map[uint64]effect{}}
+	w := &world{stage: newStage(o.seed), terms: defaultTerms(), effects: map[uint64]effect{}}
 	for i := range o.hosts {
 		w.addHost(i)
 	}
@@ -107,8 +111,10 @@
 func (h *fakeHost) start() {
 	h.life++
 	h.down, h.dropSends = false, false
+	forming := h.world.forming
+	forming.StandsBy = h.standsBy
 	g, err := assemble(Options{Name: h.name, Address: h.name, DataCentre: "dc", Terms: h.world.terms,
-		Timing: agree.DefaultTiming(), Log: events.Nop()}, h.disk, h, h.clock.now)
+		Timing: agree.DefaultTiming(), Log: events.Nop(), Forming: forming}, h.disk, h, h.clock.now)
 	if err != nil {
 		h.world.breach("%s does not start: %v", h.name, err)
 		return
--- a/internal/ops/cmds/status.go
+++ b/internal/ops/cmds/status.go
@@ -87,6 +87,9 @@
 	case m.Voter:
 		return "voter"
 	}
+	if m.StandsBy {
+		return "standby"
+	}
 	return "learner"
 }
 
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -30,7 +30,8 @@
 	if !d.settings.Forms() {
 		return f
 	}
-	return group.Forming{Seeds: d.settings.Control(), Found: d.settings.Founds(), Voters: d.settings.Voters()}
+	return group.Forming{Seeds: d.settings.Control(), Found: d.settings.Founds(), Voters: d.settings.Voters(),
+		StandsBy: !d.settings.Counted()}
 }
 
 // itemsReport is how often entry hosts that route by items tell their load: the busiest numbered keys change within seconds.
--- a/internal/shared/conf/settings.go
+++ b/internal/shared/conf/settings.go
@@ -35,6 +35,7 @@
 	forms          bool
 	found          bool
 	tolerate       int
+	counted        bool
 	heartbeat      time.Duration
 	routing        string
 	leaveTime      time.Duration
@@ -81,6 +82,9 @@
 // Voters returns how many control hosts vote, so that the tolerated losses leave a majority.
 func (s *Settings) Voters() int { return 2*s.tolerate + 1 }
 
+// Counted reports whether this control host is among those of which only the tolerated number is lost at once.
+func (s *Settings) Counted() bool { return s.counted }
+
 // Heartbeat returns how often the control leader makes itself heard.
 func (s *Settings) Heartbeat() time.Duration { return s.heartbeat }
 
@@ -200,6 +204,7 @@
 	s.forms = read(r, "control", "forms", "operators", oneOf("operators", "self")) == "self"
 	s.found = read(r, "control", "found", false, yesNo())
 	s.tolerate = read(r, "control", "tolerate", 1, intBetween(0, 4))
+	s.counted = read(r, "control", "counted", true, yesNo())
 	s.heartbeat = read(r, "control", "heartbeat", 40*time.Millisecond, durationBetween(10*time.Millisecond, time.Second))
 	s.leaseTime = min(s.leaseTime, read(r, "control", "leaseLimit", time.Minute, durationBetween(400*time.Millisecond, time.Hour)))
 }
