relay: heads of answers have one limit, those of homes too

Cause: the transports to upstreams took heads up to 64 KiB; those to the homes of owners had no limit of their own, which means 10 MB in net/http.

What callers saw: nothing while homes are sound. A home, or what stands at its address, that never ends a head cost 10 MB for each request under way.

Change: an upstream's head is limited by bound.MaxAnswerHead as on the other path (16 KiB, was 64), a home's by that and 2 KiB for what homes add.

TestHeadUpToItsLimitIsTaken holds the limit itself, directly and by way of a home. Mutant homeHead.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -92,6 +92,8 @@
 mutant brokenOnTruncation $relay/handler.go 'panic(http.ErrAbortHandler)' 'return' $relay TestLongAnswerCutShort
 mutant tracking $relay/here.go 'if p.outcome == Unknown && !target.Upstream().ChecksFence {' 'if false {' $relay TestRequestThatMayLieInASocket
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
+mutant homeHead $relay/upstream.go '		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
+' '' $relay TestEndlessHeadIsBounded
 mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
--- a/internal/entry/broker/endless_test.go
+++ b/internal/entry/broker/endless_test.go
@@ -147,7 +147,7 @@
 			return drain(a, leave)
 		}, relay.Unknown, ReasonCallerGone, 0},
 		{"caller is slow", fast, func(a *serve.Answer, _ context.CancelFunc) bool {
-			for part := make([]byte, 16); ; time.Sleep(20 * time.Millisecond) {
+			for part := make([]byte, 4<<10); ; time.Sleep(20 * time.Millisecond) {
 				if _, err := a.Rest.Read(part); err != nil {
 					return false
 				}
--- /dev/null
+++ b/internal/entry/relay/endless_test.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
+)
+
+// endless returns a script that writes a text, in which @ stands for the attempt's id, and then a pattern until its connection
+// closes; written counts the bytes that the connection took, which has a small buffer on its side.
+func endless(text, pattern string, written *atomic.Int64) script {
+	block := bytes.Repeat([]byte(pattern), 4<<10/len(pattern)+1)
+	return func(conn net.Conn, r *http.Request) {
+		_ = conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+		_, err := io.WriteString(conn, strings.ReplaceAll(text, "@", r.Header.Get(HeaderAttemptID)))
+		for err == nil {
+			var n int
+			n, err = conn.Write(block)
+			written.Add(int64(n))
+		}
+	}
+}
+
+// buffersOfSystem is more than what the system takes in for a connection from which nobody reads any more, in bytes.
+const buffersOfSystem = 1 << 20
+
+const attemptLine = "HTTP/1.1 200 OK\r\n" + HeaderAttemptID + ": @\r\n"
+
+// TestEndlessHeadIsBounded holds that a head without end is given up, whether an upstream sends it or the owner's home.
+func TestEndlessHeadIsBounded(t *testing.T) {
+	cases := []struct{ name, text, pattern string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header line", attemptLine + "X: ", "x"},
+		{"header lines", attemptLine, "a: b\r\n"},
+		{"interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"no line at all", "", "\x00\xff"},
+		{"trailers", attemptLine + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+		{"length of a chunk", attemptLine + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+	}
+	for _, v := range cases {
+		t.Run(v.name+" of an upstream", func(t *testing.T) {
+			var written atomic.Int64
+			f, u := withUpstream(t, endless(v.text, v.pattern, &written))
+			assertOutcome(f.c, f.do("POST", "/frames/k"), Unknown, u, 1)
+			f.c.Check(written.Load() < buffersOfSystem, qt.IsTrue, qt.Commentf("%d bytes", written.Load()))
+		})
+		t.Run(v.name+" of a home", func(t *testing.T) {
+			var written atomic.Int64
+			home := mustScripted(qt.New(t), endless(strings.ReplaceAll(v.text, attemptLine, attemptLine+HeaderHop+": 1\r\n"+HeaderOutcome+": done\r\n"), v.pattern, &written))
+			far, _, _ := mustPair(t, hangUp, func(*qt.C, string) string { return home.address() })
+			assertOutcome(far.c, far.do("POST", "/frames/k"), Unknown, home, 1)
+			far.c.Check(written.Load() < buffersOfSystem, qt.IsTrue, qt.Commentf("%d bytes", written.Load()))
+		})
+	}
+}
+
+// TestHeadUpToItsLimitIsTaken holds the limit of an answer's head, by way of a home as well.
+func TestHeadUpToItsLimitIsTaken(t *testing.T) {
+	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
+	head := func(over int) script {
+		return func(conn net.Conn, r *http.Request) {
+			text := strings.ReplaceAll(attemptLine, "@", r.Header.Get(HeaderAttemptID)) + "X: "
+			fill := bound.MaxAnswerHead - len(text) - len(rest) + len("body") + over
+			_, _ = io.WriteString(conn, text+strings.Repeat("x", fill)+rest)
+		}
+	}
+	for name, over := range map[string]int{"at the limit": 0, "over the limit": 1} {
+		t.Run(name, func(t *testing.T) {
+			want := map[int]Outcome{0: Done, 1: Unknown}[over]
+			f, u := withUpstream(t, head(over))
+			assertOutcome(f.c, f.do("POST", "/frames/k"), want, u, 1)
+			far, _, u := mustPair(t, head(over), nil)
+			assertOutcome(far.c, far.do("POST", "/frames/k"), want, u, 1)
+		})
+	}
+}
--- a/internal/entry/relay/upstream.go
+++ b/internal/entry/relay/upstream.go
@@ -5,18 +5,19 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/admit"
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
-// Times of connections to upstreams.
+// Times and bounds of connections to upstreams and homes.
 const (
-	provenIdle       = 500 * time.Millisecond
-	longestIdle      = 20 * time.Second
-	maxAnswerHeaders = 64 << 10
-	hopIdle          = 256
+	provenIdle  = 500 * time.Millisecond
+	longestIdle = 20 * time.Second
+	hopIdle     = 256
+	hopFields   = 2 << 10 // what a home adds to the head of an upstream's answer, in bytes
 )
 
 // pools are the connections to one place. A non-idempotent request goes on a connection that was in use a moment ago or
@@ -42,7 +43,10 @@
 
 func newHopPools(security *wire.Security) pools {
 	p := pools{usual: wire.NewTransport(security, longestIdle, hopIdle), proven: wire.NewTransport(security, provenIdle, hopIdle)}
-	p.usual.DisableCompression, p.proven.DisableCompression = true, true
+	for _, t := range []*http.Transport{p.usual, p.proven} {
+		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
+		t.DisableCompression = true
+	}
 	return p
 }
 
@@ -50,7 +54,7 @@
 	p := pools{usual: wire.NewTransport(nil, longestIdle, info.Slots), proven: wire.NewTransport(nil, provenIdle, info.Slots)}
 	for _, t := range []*http.Transport{p.usual, p.proven} {
 		t.MaxConnsPerHost = max(1, info.Connections/2)
-		t.MaxResponseHeaderBytes = maxAnswerHeaders
+		t.MaxResponseHeaderBytes = bound.MaxAnswerHead
 		t.DisableCompression = true
 	}
 	return p
