relay: a long answer to a request with an id is passed on, not held whole

Cause: an answer to a request that is not idempotent and has an id was read to its end before the caller got any of it, so that a resend could get it. What resends get is kept up to 64 KiB only; the rest was held for nothing.

What callers saw: an upstream that sends such an answer without end made the entry host hold what came until the request's deadline (2 s by default, 5 min at most), however much that was; the caller then got 502. A long sound answer was held whole as well.

The request's context ends with the stream.

Measured: TestEndlessAnswerToAnIDIsPassedOn got 502 after 64 MB were held before; now 32 MB come through while the upstream goes on, the resend gets 409, the connection breaks at the deadline and the slot is free. Mutant longAnswerToAnID.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -94,6 +94,11 @@
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
 mutant homeHead $relay/upstream.go '		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
 ' '' $relay TestEndlessHeadIsBounded
+mutant longAnswerToAnID $relay/here.go '	if p.rest != nil {
+		p.rest.onClose = append(p.rest.onClose, cancel)
+	} else {
+		cancel()
+	}' '	cancel()' $relay TestEndlessAnswerToAnIDIsPassedOn
 mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -70,7 +70,7 @@
 type stream struct {
 	body    io.ReadCloser
 	cancel  context.CancelFunc
-	onClose func()
+	onClose []func()
 	closed  bool
 }
 
@@ -81,8 +81,8 @@
 	s.closed = true
 	s.cancel()
 	_ = s.body.Close()
-	if s.onClose != nil {
-		s.onClose()
+	for _, do := range s.onClose {
+		do()
 	}
 }
 
@@ -92,11 +92,3 @@
 	_, err = io.Copy(w, s.body)
 	return err
 }
-
-// readWhole appends the rest to the buffer and reports whether it came whole.
-func (s *stream) readWhole(buffer *[]byte) bool {
-	defer s.close()
-	rest, err := io.ReadAll(s.body)
-	*buffer = append(*buffer, rest...)
-	return err == nil
-}
--- a/internal/entry/relay/endless_test.go
+++ b/internal/entry/relay/endless_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -82,3 +83,40 @@
 		})
 	}
 }
+
+// TestEndlessAnswerToAnIDIsPassedOn holds that an answer too long to be kept for resends is not held whole for them.
+func TestEndlessAnswerToAnIDIsPassedOn(t *testing.T) {
+	const (
+		sent   = 64 << 20 // bytes after which the upstream is silent
+		passed = 32 << 20 // bytes that the caller gets meanwhile
+	)
+	f, _ := withUpstream(t, func(conn net.Conn, r *http.Request) {
+		_, err := io.WriteString(conn, strings.ReplaceAll(attemptLine, "@", r.Header.Get(HeaderAttemptID))+"Content-Length: 1099511627776\r\n\r\n")
+		for n := 0; err == nil && n < sent; n += 64 << 10 {
+			_, err = conn.Write(make([]byte, 64<<10))
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	r, err := http.NewRequest("POST", f.server.URL+"/frames/k/closure", nil)
+	f.c.Assert(err, qt.IsNil)
+	r.Header.Set(HeaderRequestID, "i")
+	r.Header.Set(HeaderAttempt, "1")
+	response, err := f.server.Client().Do(r)
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	f.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	_, err = io.CopyN(io.Discard, response.Body, passed)
+	f.c.Check(err, qt.IsNil)
+	g := f.do("POST", "/frames/k/closure", HeaderRequestID, "i", HeaderAttempt, "2")
+	f.c.Check(g.status, qt.Equals, http.StatusConflict)
+	f.c.Check(g.outcome, qt.Equals, Done)
+	_, err = io.Copy(io.Discard, response.Body)
+	f.c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	for range 100 {
+		if busy, _ := f.handler.Load(); busy == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.c.Error("the slot is not given back")
+}
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -29,7 +29,8 @@
 	return h.once(ctx, c, target)
 }
 
-// once makes sure that a request id runs at most once; a resend gets the answer of the first sending.
+// once makes sure that a request id runs at most once; a resend gets the answer of the first sending, unless that is too long to
+// be kept and is passed on while it comes.
 func (h *Handler) once(ctx context.Context, c *call, target route.Target) *reply {
 	since := h.table.Since(target)
 	if target.Upstream().ChecksRequestID {
@@ -45,12 +46,12 @@
 		return repeated(ctx, record)
 	}
 	runCtx, cancel := detached(ctx, c.deadline)
-	defer cancel()
 	p := h.queueAndForward(runCtx, c, target)
-	if p.rest != nil && !p.rest.readWhole(&p.body) {
-		p = unknown(ReasonTruncated)
+	if p.rest != nil {
+		p.rest.onClose = append(p.rest.onClose, cancel)
+	} else {
+		cancel()
 	}
-	p.rest = nil
 	answer := guard.NewAnswer(p.status, p.header, p.body, string(p.outcome))
 	if p.outcome == NotRun {
 		h.guard.Void(record, answer)
@@ -104,7 +105,7 @@
 	p := h.forward(ctx, c, target, u, deadline)
 	h.arrive(target, p, deadline)
 	if p.rest != nil {
-		p.rest.onClose = leave
+		p.rest.onClose = append(p.rest.onClose, leave)
 	} else {
 		leave()
 	}
