--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -113,6 +113,13 @@
 mutant brokenOnTruncation $relay/handler.go 'panic(http.ErrAbortHandler)' 'return' $relay TestLongAnswerCutShort
 mutant tracking $relay/here.go 'if p.outcome == Unknown && !target.Upstream().ChecksFence {' 'if false {' $relay TestRequestThatMayLieInASocket
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
+mutant homeHead $relay/upstream.go '		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
+' '' $relay TestEndlessHeadIsBounded
+mutant longAnswerToAnID $relay/here.go '	if p.rest != nil {
+		p.rest.onClose = append(p.rest.onClose, cancel)
+	} else {
+		cancel()
+	}' '	cancel()' $relay TestEndlessAnswerToAnIDIsPassedOn
 mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
@@ -145,6 +152,7 @@
 				fresh' ' {
 				fresh' $conns TestBytesBehindAnAnswerEndItsConnection
 mutant wholeTimeOfStream $broker/run.go 'return tryCtx, cancel, timer.Stop' 'return tryCtx, cancel, func() bool { return true }' $broker TestLongAnswerHasTheWholeTime
+mutant brokenStreams $broker/stream.go 's.ended(ctx, written)' 's.ended(ctx, true)' $broker 'TestEndlessBodyCountsAsAFailure|TestBrokenStreams'
 mutant stopOfBusyConnections $serve/conn.go 'if c.closed || stopping && due > 0 {' 'if c.closed || stopping && due > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
