serve: one state machine decides which requests begin and when a connection may end

Cause: Stopping, begin, endsWith and closeIfIdle decided in four places, and a connection counted as ended before its last answer was written. Bytes behind the last answer were not always read; a reader that could not read a body gave up the requests before it. Seen by callers: around a stop a request on an idle connection was read and dropped; an answer that was still being written was cut as soon as the stop saw its connection as closed; the last answer was followed by a reset where more had been sent behind it; one request whose body stalled ended all before it without answers; a word to go on with a body came before, or inside, another answer; a handler's panic ended the process with all its requests; a refusal to HEAD carried a body that was taken for the next answer. A stop only wakes readers, and the reader itself ends an idle connection after a look at what has come. Shutdown waits until connections are gone. 100 Continue stands in the order of answers. Finish refuses what is not whole. wire.Pending is what conns.quiet was, for both.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -118,6 +118,16 @@
 mutant withdrawnFromLeaving $broker/run.go 'if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {' 'if false && (!ok || !j.broker.mayServe(j.broker.options.Clock(), current)) {' $broker TestNothingIsSentToOneThatLeftMeanwhile
 mutant waitingAtStop $broker/stop.go 'cancel(errStopping)' '_ = cancel' $broker TestStopTurnsAwayThoseWhoWait
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
-mutant stopOfBusyConnections $serve/conn.go 'if c.closed || stopping && due > 0 {' 'if c.closed || stopping && due > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
+mutant stopOfBusyConnections $serve/phase.go 'if p.sealed || p.stopping && before > 0 {' 'if p.sealed || p.stopping && before > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
+mutant lastOfTheDue $serve/phase.go '(p.stopping || p.sealed) && p.due == 1' '(p.stopping || p.sealed) && p.due > 0' $serve TestEveryOrderOfAStopAnswersWhatBegan
+mutant endBehindKeptAnswer $serve/phase.go 'end = p.sealed && p.due == 0 && !p.closing' 'end = false' $serve TestEveryOrderOfAStopAnswersWhatBegan
+mutant idleEndsAtStop $serve/phase.go 'return p.stopping && p.due == 0 && !p.reading' 'return false' $serve TestEveryOrderOfAStopAnswersWhatBegan
+mutant lastLook $serve/read.go 'if wire.Pending(c.raw) {' 'if wire.Pending(c.raw) && false {' $serve TestStopAnswersWhatIdleConnectionsWereSent
+mutant writtenBeforeStopped $serve/server.go 'for s.Count() > 0 {' 'for false {' $serve TestStopWaitsForTheAnswerBeingWritten
+mutant readOnBehindTheLast $serve/conn.go 'io.Copy(io.Discard, c.reader)' 'io.CopyN(io.Discard, c.reader, 1)' $serve TestLastAnswerIsNotReset
+mutant continueInOrder $serve/read.go 'c.order <- &exchange{interim: true}' '_ = c.writeContinue()' $serve TestExpectedBodyIsAskedForBetweenAnswers
+mutant panicIsAnswered $serve/conn.go 'x.answer <- Text(http.StatusBadGateway, "the request could not be handled")' 'panic(Text(http.StatusBadGateway, "the request could not be handled"))' $serve TestPanicEndsOneRequest
+mutant headHasNoBody $serve/types.go 'if method == http.MethodHead &&' 'if false &&' $serve TestHeadGetsNoBody
+mutant slowBodyIsRefused $serve/read.go 'return nil, c.late("the body did not come in time")' 'return nil, &unread{gone: err}' $serve TestSlowBodyCostsNoOtherAnswer
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
 // Times and bounds of connections to upstreams.
@@ -168,24 +170,4 @@
 func (c *Conn) Close() { _ = c.raw.Close() }
 
 // quiet reports whether nothing waits to be read on an idle connection: neither bytes of a late answer nor its end.
-func (c *Conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.raw.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	control, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = peekErr == unix.EAGAIN || peekErr == unix.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
-}
+func (c *Conn) quiet() bool { return c.reader.Buffered() == 0 && !wire.Pending(c.raw) }
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -2,50 +2,47 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"math"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Bounds of one connection.
 const (
-	maxAhead     = 32               // requests read ahead of their answers
-	readBuffer   = 2 << 10          // most headers fit; memory counts for each open connection
-	bodyTimeout  = 30 * time.Second // a caller that sends a body more slowly counts as silent
-	writeTimeout = 15 * time.Second // a caller that takes an answer more slowly counts as silent
-	headerSlack  = 1 << 10          // what the read buffer may hold of the request behind
+	maxAhead     = 32                     // requests read ahead of their answers
+	readBuffer   = 2 << 10                // most headers fit; memory counts for each open connection
+	bodyTimeout  = 30 * time.Second       // a caller that sends a body more slowly counts as silent
+	writeTimeout = 15 * time.Second       // a caller that takes an answer more slowly counts as silent
+	headerSlack  = 1 << 10                // what the read buffer may hold of the request behind
+	lingerTime   = 500 * time.Millisecond // what comes behind the last answer is read for so long
 )
 
 // conn is one caller's connection: one goroutine reads requests, one writes answers in their order.
 type conn struct {
-	server  *Server
-	raw     net.Conn
-	limited *limitedReader
-	reader  *bufio.Reader
-	ctx     context.Context
-	cancel  context.CancelFunc
-	order   chan *exchange
-	mutex   sync.Mutex
-	due     []*exchange
-	told    bool
-	decided bool
-	reading bool
-	closed  bool
-	ignored chan struct{}
-}
-
-// exchange is a request that was read and the place of its answer.
+	server    *Server
+	raw       net.Conn
+	limited   *limitedReader
+	reader    *bufio.Reader
+	ctx       context.Context
+	cancel    context.CancelFunc
+	order     chan *exchange
+	mutex     sync.Mutex
+	phases    phases
+	due       []*exchange
+	told      bool
+	lingerEnd time.Time
+	ignored   chan struct{}
+}
+
+// exchange is a request that was read and the place of its answer; an interim one asks for a body and has no answer.
 type exchange struct {
 	request *Request
 	answer  chan *Answer
+	interim bool
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -78,289 +75,137 @@
 	for {
 		r, bad := c.next()
 		x := &exchange{request: r, answer: make(chan *Answer, 1)}
-		if bad != nil {
-			switch {
-			case bad.answer != nil && c.begin(x):
+		switch {
+		case bad == nil && c.begin(x):
+			c.order <- x
+			ended := r.HTTP.Close || !r.HTTP.ProtoAtLeast(1, 1)
+			if ended {
+				c.seal()
+			}
+			go c.handle(x)
+			if !ended {
+				continue
+			}
+			c.ignoreRest()
+		case bad == nil || bad.behindLast:
+			c.ignoreRest()
+		case bad.answer != nil:
+			if c.begin(x) {
 				c.order <- x
 				x.answer <- bad.answer
-				c.drainBriefly()
-			case bad.answer != nil:
-				c.ignoreRest()
-			case !c.isClosed():
-				c.cut(CauseCallerClosed, nil)
 			}
-			return
-		}
-		if !c.begin(x) {
+			c.seal()
 			c.ignoreRest()
-			return
-		}
-		ended := r.HTTP.Close || !r.HTTP.ProtoAtLeast(1, 1)
-		c.order <- x
-		go func() {
-			a := c.server.options.Handler(c.ctx, r)
-			if a != nil && ended {
-				a.Close = true
-			}
-			r.SetStage(StageAnswered)
-			x.answer <- a
-		}()
-		if ended {
-			c.watchGone()
-			return
+		case bad.gone != nil:
+			c.leave(bad.gone)
 		}
+		return
 	}
 }
 
-// drainBriefly reads on for a moment after a refusal, so that closing with unread bytes does not reset the connection
-// before the caller has read the answer.
-func (c *conn) drainBriefly() {
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
-	c.limited.left = lingerBytes
-	_, _ = io.Copy(io.Discard, c.reader)
-}
-
-// Bounds of reading on after a refusal.
-const (
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
-)
-
-// watchGone waits until the caller closes or the answers are written, as no more requests are read.
-func (c *conn) watchGone() {
-	_ = c.raw.SetReadDeadline(time.Time{})
-	c.limited.left = 1
-	var one [1]byte
-	go func() {
-		if _, err := c.reader.Read(one[:]); err != nil && !c.isClosed() {
-			c.cut(CauseCallerClosed, err)
+// handle answers one request. A handler that panics must not end the requests of others; its own may have run.
+func (c *conn) handle(x *exchange) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if c.server.options.Panicked != nil {
+			c.server.options.Panicked(x.request, v)
 		}
+		x.answer <- Text(http.StatusBadGateway, "the request could not be handled")
 	}()
+	a := c.server.options.Handler(c.ctx, x.request)
+	if a != nil {
+		x.request.SetStage(StageAnswered)
+		a.withoutBody(x.request.HTTP.Method)
+	}
+	x.answer <- a
 }
 
-// begin counts a request that was read, unless the connection ends with an answer before it: the request then counts as not
-// read, and its caller sends it again. While the server stops, the answers that are still due are the last.
+// begin counts a request that was read, and reports whether it is to be answered.
 func (c *conn) begin(x *exchange) bool {
-	stopping := c.server.Stopping()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.reading = false
-	due := len(c.due)
-	if c.decided {
-		due--
-	}
-	if c.closed || stopping && due > 0 {
+	if !c.phases.begin() {
 		return false
 	}
 	c.due = append(c.due, x)
 	return true
 }
 
+func (c *conn) seal() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phases.seal()
+}
+
 // ignoreRest reads on behind the last request that is taken in, so that the caller's end is seen and closing resets nothing.
 func (c *conn) ignoreRest() {
 	c.ignored = make(chan struct{})
 	c.limited.left = math.MaxInt64
-	_ = c.raw.SetReadDeadline(time.Time{})
-	if c.isClosed() {
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
-	}
+	c.readWithin(untilEnd)
 	go func() {
 		defer close(c.ignored)
-		_, _ = io.Copy(io.Discard, c.reader)
-		if !c.isClosed() {
-			c.cut(CauseCallerClosed, nil)
+		if _, err := io.Copy(io.Discard, c.reader); err == nil || !isTimeout(err) {
+			c.leave(err)
 		}
 	}()
 }
 
-// endsWith reports whether the connection ends with the answer that is about to be written: because the answer says so, or
-// because the server stops and no request behind it was read.
-func (c *conn) endsWith(a *Answer) bool {
-	stopping := c.server.Stopping()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if a.Close || stopping && len(c.due) == 1 {
-		c.closed = true
-	}
-	c.decided = !c.closed
-	return c.closed
-}
+// untilEnd stands for as long as the connection lasts.
+const untilEnd = time.Duration(math.MaxInt64)
 
-func (c *conn) end() {
+// leave takes in that the caller has gone; one that closes while its last answer is written may have half closed only.
+func (c *conn) leave(err error) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.due = c.due[1:]
-	c.decided = false
-}
-
-// closeIfIdle closes a connection that waits for its next request, and reports whether it did.
-func (c *conn) closeIfIdle() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if len(c.due) > 0 || c.reading || c.closed {
-		return c.closed
+	closing := c.phases.closing
+	c.mutex.Unlock()
+	if !closing {
+		c.cut(CauseCallerClosed, err)
 	}
-	c.closed = true
-	_ = c.raw.Close()
-	return true
 }
 
-func (c *conn) isClosed() bool {
+// readWithin bounds the reads that follow. A stop may let nothing be waited for any more, and behind the last answer the linger
+// time holds.
+func (c *conn) readWithin(d time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.closed
-}
-
-func (c *conn) abort(cause Cause, err error) {
-	c.cut(cause, err)
-	_ = c.raw.Close()
-}
-
-// unread tells why no request could be read; without an answer the caller has gone or stayed idle.
-type unread struct {
-	answer *Answer
-}
-
-func (c *conn) refuse(status int, reason string) *unread {
-	if c.server.options.Refused != nil {
-		c.server.options.Refused(c.raw.RemoteAddr().String(), status, reason)
-	}
-	a := Text(status, reason)
-	a.Close = true
-	return &unread{answer: a}
-}
-
-// next reads one request with its body.
-func (c *conn) next() (r *Request, bad *unread) {
-	limits := c.server.options.Limits()
-	if bad = c.awaitFirst(limits); bad != nil {
-		return nil, bad
-	}
-	c.limited.left = limits.HeaderBytes + headerSlack
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	arrived := c.server.options.Clock()
-	request, err := http.ReadRequest(c.reader)
+	at := time.Time{}
 	switch {
-	case err != nil && c.limited.left <= 0:
-		return nil, c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-	case err != nil && isTimeout(err):
-		return nil, c.refuse(http.StatusRequestTimeout, "the header did not come in time")
-	case err != nil && isGone(err):
-		return nil, &unread{}
-	case err != nil:
-		return nil, c.refuse(http.StatusBadRequest, "the request cannot be read")
-	case headerBytes(request) > limits.HeaderBytes:
-		return nil, c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-	case request.ProtoMajor != 1:
-		return nil, c.refuse(http.StatusHTTPVersionNotSupported, "only HTTP/1 is spoken here")
+	case c.phases.mustHurry():
+		at = time.Now()
+	case !c.lingerEnd.IsZero():
+		at = c.lingerEnd
+	case d < untilEnd:
+		at = time.Now().Add(d)
 	}
-	body, bad := c.readBody(request, limits)
-	if bad != nil {
-		return nil, bad
-	}
-	request.RemoteAddr = c.raw.RemoteAddr().String()
-	return &Request{HTTP: request, Body: body, Arrived: arrived}, nil
+	_ = c.raw.SetReadDeadline(at)
 }
 
-// awaitFirst waits for the first byte of a request, as long as a connection may be idle.
-func (c *conn) awaitFirst(limits Limits) *unread {
-	c.mutex.Lock()
-	busy := len(c.due) > 0
-	c.mutex.Unlock()
-	c.limited.left = limits.HeaderBytes + headerSlack
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	for {
-		_, err := c.reader.Peek(1)
-		if err == nil {
-			break
-		}
-		if isTimeout(err) && busy && !c.isClosed() {
-			_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-			c.mutex.Lock()
-			busy = len(c.due) > 0
-			c.mutex.Unlock()
-			continue
-		}
-		return &unread{}
-	}
+// stop changes the phase of the connection and wakes its reader where that has nothing to wait for.
+func (c *conn) stop(change func(p *phases)) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.reading = true
-	if c.closed {
-		return &unread{}
-	}
-	return nil
+	change(&c.phases)
+	c.wake()
 }
 
-func (c *conn) readBody(r *http.Request, limits Limits) (body []byte, bad *unread) {
-	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		return nil, nil
+// wake ends the reader's wait where a stop asks for it; the mutex must be held.
+func (c *conn) wake() {
+	if c.phases.mustHurry() {
+		_ = c.raw.SetReadDeadline(time.Now())
 	}
-	if r.ContentLength > limits.BodyBytes {
-		return nil, c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
-	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, &unread{}
-		}
-	}
-	c.limited.left = limits.BodyBytes + headerSlack + readBuffer
-	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var buffer bytes.Buffer
-	if r.ContentLength > 0 {
-		buffer.Grow(int(r.ContentLength))
-	}
-	n, err := io.Copy(&buffer, io.LimitReader(r.Body, limits.BodyBytes+1))
-	switch {
-	case n > limits.BodyBytes:
-		return nil, c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
-	case err != nil && (isGone(err) || isTimeout(err)):
-		return nil, &unread{}
-	case err != nil:
-		return nil, c.refuse(http.StatusBadRequest, "the body cannot be read")
-	}
-	return buffer.Bytes(), nil
-}
-
-// headerBytes returns about what a request's line and header take on the wire.
-func headerBytes(r *http.Request) (n int64) {
-	n = int64(len(r.Method) + len(r.RequestURI) + len(r.Host))
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += int64(len(name) + len(v) + len(": \r\n"))
-		}
-	}
-	return n
-}
-
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
 }
 
-// isGone reports whether an error of reading means that the caller has closed or reset its connection.
-func isGone(err error) bool {
-	var op *net.OpError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
-}
-
-// limitedReader reads until its allowance is used up.
-type limitedReader struct {
-	from io.Reader
-	left int64
+// owes reports whether a request that was read has no answer.
+func (c *conn) owes() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.phases.due > 0
 }
 
-// Read reads at most what is left.
-func (l *limitedReader) Read(b []byte) (n int, err error) {
-	if l.left <= 0 {
-		return 0, errTooMuch
-	}
-	if int64(len(b)) > l.left {
-		b = b[:l.left]
-	}
-	n, err = l.from.Read(b)
-	l.left -= int64(n)
-	return n, err
+func (c *conn) abort(cause Cause, err error) {
+	c.cut(cause, err)
+	_ = c.raw.Close()
 }
-
-var errTooMuch = errors.New("more bytes than allowed")
--- /dev/null
+++ b/internal/entry/serve/phase_test.go
@@ -0,0 +1,143 @@
+package serve
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// maxWalked is how many requests a caller of the walk sends.
+const maxWalked = 4
+
+// Places of the reader of the walk.
+const (
+	readerWaits = iota // for the first byte of a request
+	readerHasBytes
+	readerReads
+	readerWoken
+	readerDone
+)
+
+// walked is one state of a connection: its phases, where its reader and its writer stand, and what has become of each request.
+type walked struct {
+	p        phases
+	reader   int
+	sent     int                 // requests of which bytes were read
+	begun    int                 // requests that began
+	ready    [maxWalked + 1]bool // answers that are there
+	written  int                 // answers that were written
+	writing  bool
+	last     bool // the answer being written is the last
+	ended    bool // the writer has closed
+	gone     bool // the caller has closed
+	stopped  bool
+	finished bool
+}
+
+// step is one thing that can happen.
+type step struct {
+	name string
+	next walked
+}
+
+// steps returns all that can happen in a state.
+func (w walked) steps() (list []step) {
+	add := func(name string, ok bool, change func(n *walked)) {
+		if ok {
+			n := w
+			change(&n)
+			list = append(list, step{name, n})
+		}
+	}
+	open := !w.gone && !w.ended
+	add("caller closes", !w.gone, func(n *walked) { n.gone = true })
+	add("stop begins", !w.stopped, func(n *walked) { n.stopped = true; n.p.stop() })
+	add("stop finishes", w.stopped && !w.finished, func(n *walked) { n.finished = true; n.p.finish() })
+	add("bytes are read", open && w.reader == readerWaits && w.sent < maxWalked, func(n *walked) { n.reader = readerHasBytes; n.sent++ })
+	add("bytes are noted", w.reader == readerHasBytes, func(n *walked) { n.reader = pick(n.p.arrive(), readerReads, readerDone) })
+	add("request is whole", w.reader == readerReads, func(n *walked) {
+		n.reader = readerDone
+		if n.p.begin() {
+			n.reader = readerWaits
+			n.begun++
+		}
+	})
+	add("request is late", w.reader == readerReads && w.finished, func(n *walked) {
+		if n.p.begin() {
+			n.ready[n.begun] = true
+			n.begun++
+		}
+		n.p.seal()
+		n.reader = readerDone
+	})
+	add("reader wakes", w.reader == readerWaits && w.p.mustHurry(), func(n *walked) { n.reader = readerWoken })
+	add("nothing is pending", w.reader == readerWoken, func(n *walked) { n.p.seal(); n.reader = readerDone })
+	add("something is pending", w.reader == readerWoken && open && w.sent < maxWalked, func(n *walked) { n.reader = readerHasBytes; n.sent++ })
+	for i := w.written; i < w.begun; i++ {
+		add(fmt.Sprint("answer is ready ", i), !w.ready[i], func(n *walked) { n.ready[i] = true })
+	}
+	add("answer is being written", !w.writing && !w.ended && w.written < w.begun && w.ready[w.written], func(n *walked) {
+		n.writing = true
+		n.last = n.p.write(false)
+	})
+	add("answer is written", w.writing, func(n *walked) {
+		n.writing = false
+		n.written++
+		n.ended = n.p.written() || n.last
+	})
+	return list
+}
+
+func pick(ok bool, yes, no int) int {
+	if ok {
+		return yes
+	}
+	return no
+}
+
+// fault returns what a state breaks, or an empty text.
+func (w walked) fault(stuck bool) string {
+	switch {
+	case w.ended && w.written < w.begun:
+		return "the connection ends before the answer to a request that began"
+	case w.p.due != w.begun-w.written:
+		return "answers are counted wrong"
+	case stuck && w.written < w.begun:
+		return "a request that began is never answered"
+	case stuck && !w.ended && !(w.reader == readerDone && w.p.due == 0):
+		return "the connection outlives its stop"
+	}
+	return ""
+}
+
+// TestEveryOrderOfAStopAnswersWhatBegan walks through every order in which bytes, whole requests, answers, writes, the phases of a
+// stop and the caller's end can come: what began is answered, what did not begin was never passed on, and each connection ends.
+func TestEveryOrderOfAStopAnswersWhatBegan(t *testing.T) {
+	c := qt.New(t)
+	type origin struct {
+		before walked
+		name   string
+	}
+	start := walked{}
+	from := map[walked]origin{start: {}}
+	for queue := []walked{start}; len(queue) > 0; queue = queue[1:] {
+		w := queue[0]
+		steps := w.steps()
+		if fault := w.fault(len(steps) == 0); fault != "" {
+			path := []string{}
+			for at := w; at != start; at = from[at].before {
+				path = append([]string{from[at].name}, path...)
+			}
+			c.Fatalf("%s, after: %q", fault, path)
+		}
+		for _, s := range steps {
+			if _, known := from[s.next]; !known {
+				from[s.next] = origin{w, s.name}
+				queue = append(queue, s.next)
+			}
+		}
+	}
+	c.Logf("%d states", len(from))
+	c.Check(len(from) > 1000, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/entry/serve/read.go
@@ -0,0 +1,215 @@
+package serve
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/wire"
+)
+
+// unread tells why no request could be read: it has an answer, its caller has gone, or it came behind the last answer. None of these
+// tells that the connection was idle for too long.
+type unread struct {
+	answer     *Answer
+	gone       error
+	behindLast bool
+}
+
+func (c *conn) refuse(status int, reason string) *unread {
+	if c.server.options.Refused != nil {
+		c.server.options.Refused(c.raw.RemoteAddr().String(), status, reason)
+	}
+	a := Text(status, reason)
+	a.Close = true
+	return &unread{answer: a}
+}
+
+// next reads one request with its body.
+func (c *conn) next() (r *Request, bad *unread) {
+	limits := c.server.options.Limits()
+	if bad = c.awaitFirst(limits); bad != nil {
+		return nil, bad
+	}
+	c.limited.left = limits.HeaderBytes + headerSlack
+	c.readWithin(limits.HeaderTimeout)
+	arrived := c.server.options.Clock()
+	request, err := http.ReadRequest(c.reader)
+	switch {
+	case err != nil && c.limited.left <= 0:
+		return nil, c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+	case err != nil && isTimeout(err):
+		return nil, c.late("the header did not come in time")
+	case err != nil && isGone(err):
+		return nil, &unread{gone: err}
+	case err != nil:
+		return nil, c.refuse(http.StatusBadRequest, "the request cannot be read")
+	case headerBytes(request) > limits.HeaderBytes:
+		return nil, c.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+	case request.ProtoMajor != 1:
+		return nil, c.refuse(http.StatusHTTPVersionNotSupported, "only HTTP/1 is spoken here")
+	}
+	body, bad := c.readBody(request, limits)
+	if bad != nil {
+		return nil, bad
+	}
+	request.RemoteAddr = c.raw.RemoteAddr().String()
+	return &Request{HTTP: request, Body: body, Arrived: arrived}, nil
+}
+
+// late refuses a request that has not come whole: it was too slow, or the stop lets nothing be waited for.
+func (c *conn) late(reason string) *unread {
+	c.mutex.Lock()
+	finishing := c.phases.finishing
+	c.mutex.Unlock()
+	if finishing {
+		return c.refuse(http.StatusServiceUnavailable, "the host stops")
+	}
+	return c.refuse(http.StatusRequestTimeout, reason)
+}
+
+// awaitFirst waits for the first byte of a request, as long as a connection may be idle.
+func (c *conn) awaitFirst(limits Limits) *unread {
+	busy := c.owes()
+	c.limited.left = limits.HeaderBytes + headerSlack
+	for {
+		c.readWithin(limits.IdleTimeout)
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return c.arrive()
+		}
+		if !isTimeout(err) {
+			return &unread{gone: err}
+		}
+		if bad, ended := c.stopsWaiting(); ended {
+			return bad
+		}
+		if !busy {
+			c.seal()
+			return &unread{}
+		}
+		busy = c.owes()
+	}
+}
+
+// arrive notes that bytes of a request were read.
+func (c *conn) arrive() *unread {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.phases.arrive() {
+		return &unread{behindLast: true}
+	}
+	return nil
+}
+
+// stopsWaiting reports whether a stop ends the wait for a request. What has come to an idle connection meanwhile is read: closing
+// with unread bytes would reset it.
+func (c *conn) stopsWaiting() (bad *unread, ended bool) {
+	c.mutex.Lock()
+	sealed, hurry := c.phases.sealed, c.phases.mustHurry()
+	c.mutex.Unlock()
+	switch {
+	case sealed:
+		return &unread{behindLast: true}, true
+	case !hurry:
+		return nil, false
+	}
+	if wire.Pending(c.raw) {
+		return c.readPending()
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phases.seal()
+	return &unread{behindLast: c.phases.due > 0}, true
+}
+
+// readPending reads what waits on a connection.
+func (c *conn) readPending() (bad *unread, ended bool) {
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+	_, err := c.reader.Peek(1)
+	switch {
+	case err == nil:
+		return c.arrive(), true
+	case isTimeout(err):
+		return nil, false // the stop woke the reader once more meanwhile
+	}
+	return &unread{gone: err}, true
+}
+
+func (c *conn) readBody(r *http.Request, limits Limits) (body []byte, bad *unread) {
+	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > limits.BodyBytes {
+		return nil, c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.order <- &exchange{interim: true}
+	}
+	c.limited.left = limits.BodyBytes + headerSlack + readBuffer
+	c.readWithin(c.server.bodyTime)
+	var buffer bytes.Buffer
+	if r.ContentLength > 0 {
+		buffer.Grow(int(r.ContentLength))
+	}
+	n, err := io.Copy(&buffer, io.LimitReader(r.Body, limits.BodyBytes+1))
+	switch {
+	case n > limits.BodyBytes:
+		return nil, c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
+	case err != nil && isTimeout(err):
+		return nil, c.late("the body did not come in time")
+	case err != nil && isGone(err):
+		return nil, &unread{gone: err}
+	case err != nil:
+		return nil, c.refuse(http.StatusBadRequest, "the body cannot be read")
+	}
+	return buffer.Bytes(), nil
+}
+
+// headerBytes returns about what a request's line and header take on the wire.
+func headerBytes(r *http.Request) (n int64) {
+	n = int64(len(r.Method) + len(r.RequestURI) + len(r.Host))
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v) + len(": \r\n"))
+		}
+	}
+	return n
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// isGone reports whether an error of reading means that the caller has closed or reset its connection.
+func isGone(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
+}
+
+// limitedReader reads until its allowance is used up.
+type limitedReader struct {
+	from io.Reader
+	left int64
+}
+
+// Read reads at most what is left.
+func (l *limitedReader) Read(b []byte) (n int, err error) {
+	if l.left <= 0 {
+		return 0, errTooMuch
+	}
+	if int64(len(b)) > l.left {
+		b = b[:l.left]
+	}
+	n, err = l.from.Read(b)
+	l.left -= int64(n)
+	return n, err
+}
+
+var errTooMuch = errors.New("more bytes than allowed")
--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,13 +12,14 @@
 )
 
 // Options describe a server. Refused hears of requests that were turned away before a handler saw them, Unanswered of connections
-// that ended before all answers were written.
+// that ended before all answers were written, Panicked of handlers that panicked.
 type Options struct {
 	Handler    Handler
 	Limits     func() Limits
 	Clock      func() time.Duration
 	Refused    func(remote string, status int, reason string)
 	Unanswered func(u *Unanswered)
+	Panicked   func(r *Request, value any)
 }
 
 // Server takes callers' connections.
@@ -25,13 +28,14 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
-	stopping bool
+	phases   phases
+	bodyTime time.Duration
 	done     chan struct{}
 }
 
 // New returns a server that listens nowhere yet.
 func New(o Options) *Server {
-	return &Server{options: o, conns: map[*conn]struct{}{}, done: make(chan struct{})}
+	return &Server{options: o, conns: map[*conn]struct{}{}, bodyTime: bodyTimeout, done: make(chan struct{})}
 }
 
 // Serve takes connections from the listener until Shutdown or Close.
@@ -73,6 +77,7 @@
 func (s *Server) open(raw net.Conn) {
 	c := newConn(s, raw)
 	s.mutex.Lock()
+	c.phases = s.phases
 	s.conns[c] = struct{}{}
 	s.mutex.Unlock()
 	go c.run()
@@ -84,61 +89,65 @@
 	delete(s.conns, c)
 }
 
-// Stopping reports whether connections are being closed as their answers are written.
-func (s *Server) Stopping() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.stopping
-}
+// Retire lets each connection end with the answers that are due, and idle ones at once.
+func (s *Server) Retire() { s.change((*phases).stop) }
+
+// Finish refuses the requests that have not come whole by now; those that have are answered.
+func (s *Server) Finish() { s.change((*phases).finish) }
 
-// Retire lets each connection end with its next answer; new connections are still taken.
-func (s *Server) Retire() {
+// change takes all connections, and those to come, into a phase of the stop.
+func (s *Server) change(phase func(p *phases)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.stopping = true
+	phase(&s.phases)
+	for c := range s.conns {
+		c.stop(phase)
+	}
 }
 
-// Shutdown takes no more connections, ends idle ones and waits until the others have had their answers.
+// Shutdown takes no more connections, ends idle ones and waits until the others have had their answers and the callers have seen
+// the end. It returns an error where answers are still due when the context ends.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "shut down callers' server") }()
 	s.Retire()
 	s.closeListener()
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
-	for {
-		if s.closeIdle() == 0 {
-			return nil
-		}
+	for s.Count() > 0 {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			if s.Owing() > 0 {
+				return ctx.Err()
+			}
+			return nil
 		case <-ticker.C:
 		}
 	}
+	return nil
 }
 
-// pollPeriod is how often a shutdown looks for connections that have become idle.
+// pollPeriod is how often a shutdown looks for connections that have ended.
 const pollPeriod = 20 * time.Millisecond
 
-// closeIdle ends the connections without a request and returns how many others there are.
-func (s *Server) closeIdle() (busy int) {
+// Owing returns how many connections owe an answer to a request that was read.
+func (s *Server) Owing() (n int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for c := range s.conns {
-		if c.closeIfIdle() {
-			continue
+		if c.owes() {
+			n++
 		}
-		busy++
 	}
-	return busy
+	return n
 }
 
 // Close ends all at once.
 func (s *Server) Close() {
 	s.closeListener()
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for c := range s.conns {
+	open := slices.Collect(maps.Keys(s.conns))
+	s.mutex.Unlock()
+	for _, c := range open {
 		c.abort(CauseStopped, nil)
 	}
 }
--- a/internal/entry/serve/types.go
+++ b/internal/entry/serve/types.go
@@ -28,6 +28,13 @@
 	Done   func(written bool)
 }
 
+// withoutBody takes the body off an answer to a request for the header alone.
+func (a *Answer) withoutBody(method string) {
+	if method == http.MethodHead && a.Rest == nil && len(a.Body) > 0 {
+		a.Length, a.Body = int64(len(a.Body)), nil
+	}
+}
+
 // Handler answers requests; the context ends when the caller has gone.
 type Handler func(ctx context.Context, r *Request) *Answer
 
--- a/internal/entry/serve/write.go
+++ b/internal/entry/serve/write.go
@@ -11,17 +11,15 @@
 // write writes the answers in the order of their requests; an answer that ends the connection, or that cannot be written
 // whole, is the last.
 func (c *conn) write() {
-	last := false
+	goOn := true
 	for x := range c.order {
-		if last {
+		switch {
+		case x.interim:
+			goOn = goOn && c.writeContinue()
+		case !goOn:
 			c.skip(x)
-			continue
-		}
-		a := <-x.answer
-		last = !c.writeOne(a)
-		c.end()
-		if last {
-			c.closeAfterAnswer()
+		default:
+			goOn = c.writeOne(<-x.answer)
 		}
 	}
 }
@@ -32,25 +30,59 @@
 	if a := <-x.answer; a != nil && a.Done != nil {
 		a.Done(false)
 	}
-	c.end()
+	c.written()
+}
+
+// writeContinue asks the caller for a body that it holds back. It stands among the answers, as bytes between those of an answer
+// would spoil it.
+func (c *conn) writeContinue() (goOn bool) {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		c.abort(causeOf(err), err)
+		return false
+	}
+	return true
 }
 
 // writeOne writes one answer and reports whether the connection may go on.
 func (c *conn) writeOne(a *Answer) (goOn bool) {
 	if a == nil {
 		c.abort(CauseNoAnswer, nil)
+		c.written()
 		return false
 	}
-	a.Close = c.endsWith(a)
+	a.Close = c.endsWith(a.Close)
 	err := c.writeAnswer(a)
 	if a.Done != nil {
 		a.Done(err == nil)
 	}
 	if err != nil {
 		c.abort(causeOf(err), err)
+		c.written()
+		return false
+	}
+	if c.written() || a.Close {
+		c.closeAfterAnswer()
 		return false
 	}
-	return !a.Close
+	return true
+}
+
+// endsWith reports whether the connection ends with the answer that is about to be written.
+func (c *conn) endsWith(closes bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.phases.write(closes)
+}
+
+// written takes the oldest answer off those that are due, and reports whether the connection ends behind it.
+func (c *conn) written() (end bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.due = c.due[1:]
+	end = c.phases.written()
+	c.wake()
+	return end
 }
 
 func (c *conn) writeAnswer(a *Answer) (err error) {
@@ -153,5 +185,8 @@
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lingerEnd = time.Now().Add(lingerTime)
+	_ = c.raw.SetReadDeadline(c.lingerEnd)
 }
