broker, daemon: a stop answers every request that was read

Cause: at the end of a stop's bound all connections were closed at once. Nothing ended a wait for an upstream before, and a request that came late in the stop was passed on although it could outlast it. Besides, the bound after which a first try gives way held on while its answer was being passed on. Change: conf.StopTimes holds the phases of a stop in one place: notice, waiting for a slot, at an upstream, end. Broker.Stop takes the server through them; the last ends each exchange with errStopping: 503 where nothing was sent, 502 otherwise, logged with reason stopping. A request that came after the notice is passed on only if its time ends before. An answer that has begun is bound by its request's time and the end of the stop only.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -116,7 +116,12 @@
 mutant hurriedIsNotQueued $deal/desk.go 'if a.Hurry && (' 'if false && (' $deal TestHurriedAskIsNotQueued
 mutant hostBudget $broker/budget.go 'hostShare = 0.95' 'hostShare = 1.6' $broker TestHostsKeepTheBudgetInSum
 mutant withdrawnFromLeaving $broker/run.go 'if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {' 'if false && (!ok || !j.broker.mayServe(j.broker.options.Clock(), current)) {' $broker TestNothingIsSentToOneThatLeftMeanwhile
-mutant waitingAtStop $broker/stop.go 'cancel(errStopping)' '_ = cancel' $broker TestStopTurnsAwayThoseWhoWait
+mutant waitingAtStop $broker/stop.go '{ cancel(errStopping) }' '{ _ = cancel }' $broker TestStopTurnsAwayThoseWhoWait
+mutant answersAtStop $broker/stop.go '{ t.end(errStopping) }' '{ _ = t }' $broker TestStopAnswersEveryRequestThatWasRead
+mutant halfReadAtStop $broker/stop.go 'front.Finish()' '_ = front' $broker TestStopAnswersEveryRequestThatWasRead
+mutant longAnswerAtStop $broker/run.go '!bounds.lift() && got.Rest != nil' 'got.Rest == nil && !bounds.lift()' $broker TestStopDoesNotCutLongAnswers
+mutant longAnswerInTry $broker/run.go '!bounds.lift() && got.Rest != nil' 'got.Rest == nil && !bounds.lift()' $broker TestLongAnswerOutlastsTheFirstTry
+mutant tooLateForStop $broker/stop.go 'j.arrived > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
 mutant stopOfBusyConnections $serve/phase.go 'if p.sealed || p.stopping && before > 0 {' 'if p.sealed || p.stopping && before > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 mutant lastOfTheDue $serve/phase.go '(p.stopping || p.sealed) && p.due == 1' '(p.stopping || p.sealed) && p.due > 0' $serve TestEveryOrderOfAStopAnswersWhatBegan
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -28,17 +28,18 @@
 	mutex   sync.Mutex
 	repeats *budget
 	splits  map[string]*split
-	// stopAt is when the host was told to stop, zero before.
-	stopAt atomic.Int64
-	// mayWait ends when requests may wait for slots no longer.
-	mayWait     context.Context
-	stopWaiting context.CancelFunc
+	// stopping is the stop under way, nil before.
+	stopping atomic.Pointer[stop]
+	// mayWait ends when requests may wait for slots no longer, mayWork when they may stay at upstreams no longer.
+	mayWait, mayWork         context.Context
+	stopWaiting, stopServing context.CancelFunc
 }
 
 // New returns a broker.
 func New(o Options) *Broker {
 	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), repeats: newBudget(o.Repeats), splits: map[string]*split{}}
-	b.mayWait, b.stopWaiting = context.WithCancel(context.Background())
+	b.mayWork, b.stopServing = context.WithCancel(context.Background())
+	b.mayWait, b.stopWaiting = context.WithCancel(b.mayWork)
 	b.office = b.newOffice()
 	return b
 }
@@ -170,6 +171,8 @@
 	if left, ok := b.options.Dialect.deadlineOf(r.HTTP.Header); ok {
 		most = min(most, time.Duration(parkShare*float64(left)))
 	}
+	ctx, stop := b.untilStop(ctx)
+	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	for ctx.Err() == nil && view.Items().Router().Empty() {
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -46,14 +46,19 @@
 type records struct {
 	mutex sync.Mutex
 	list  []Record
+	cut   int
 }
 
-func (r *records) Arrived(string, uint64, uint64)           {}
-func (r *records) Tried(uint32, bool, time.Duration)        {}
-func (r *records) Unanswered(serve.Cause, serve.Stage, int) {}
-func (r *records) Settled(x Record)                         { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
-func (r *records) last() Record                             { r.mutex.Lock(); defer r.mutex.Unlock(); return r.list[len(r.list)-1] }
-func answerWell(w http.ResponseWriter, r *http.Request)     { answer(w, r, http.StatusOK, "body") }
+func (r *records) Arrived(string, uint64, uint64)    {}
+func (r *records) Tried(uint32, bool, time.Duration) {}
+func (r *records) Settled(x Record)                  { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
+func (r *records) last() Record                      { r.mutex.Lock(); defer r.mutex.Unlock(); return r.list[len(r.list)-1] }
+func (r *records) Unanswered(_ serve.Cause, _ serve.Stage, n int) {
+	r.mutex.Lock()
+	r.cut += n
+	r.mutex.Unlock()
+}
+func answerWell(w http.ResponseWriter, r *http.Request) { answer(w, r, http.StatusOK, "body") }
 
 func answer(w http.ResponseWriter, r *http.Request, status int, body string) {
 	w.Header().Set("Id", r.Header.Get("Id"))
@@ -403,7 +408,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	f.broker.StopWaiting()
+	f.broker.stopWaiting()
 	f.c.Check(<-answers, qt.Equals, http.StatusServiceUnavailable)
 	close(finish)
 	f.c.Check(<-answers, qt.Equals, http.StatusOK)
@@ -423,3 +428,20 @@
 	f.c.Check(len(a.Body)+len(rest), qt.Equals, length)
 	a.Done(true)
 }
+
+// TestLongAnswerOutlastsTheFirstTry holds that the bound after which a first try gives way does not cut an answer that has begun.
+func TestLongAnswerOutlastsTheFirstTry(t *testing.T) {
+	const length = 200 << 10
+	f := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, http.StatusOK, strings.Repeat("x", length))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(700 * time.Millisecond)
+		_, _ = io.WriteString(w, "end")
+	}}, nil)
+	a := f.ask("/look/x", func(r *http.Request) { r.Header.Set("Left", "1000") })
+	f.c.Assert(a.Rest, qt.IsNotNil)
+	rest, err := io.ReadAll(a.Rest)
+	f.c.Check(err, qt.IsNil)
+	f.c.Check(len(a.Body)+len(rest), qt.Equals, length+len("end"))
+	a.Done(err == nil)
+}
--- a/internal/entry/broker/log.go
+++ b/internal/entry/broker/log.go
@@ -1,8 +1,10 @@
 package broker
 
 import (
+	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
@@ -42,6 +44,12 @@
 	b.options.Log.Write(event, fields...)
 }
 
+// Panicked notes that the handling of a request ended with a panic.
+func (b *Broker) Panicked(r *serve.Request, value any) {
+	b.options.Log.Write(events.ServerComplaint, zap.String("id", r.HTTP.Header.Get(b.options.Dialect.RequestID)),
+		events.Cause(errors.Errorf("panic: %v", value)), zap.ByteString("stack", debug.Stack()))
+}
+
 // logTry writes one line for a try that brought no answer.
 func (b *Broker) logTry(j *job, u table.Upstream, v verdict, took time.Duration) {
 	b.options.Log.Write(events.TryFailed, zap.String("id", j.id), zap.String("service", j.service), zap.String("upstream", u.Name),
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -50,7 +50,12 @@
 
 // place returns the upstream for the next try, or the refusal where there is none.
 func (j *job) place(ctx context.Context) (u table.Upstream, refusal *serve.Answer) {
-	if !j.allowed() {
+	switch {
+	case ctx.Err() != nil:
+		return u, j.outOfTime(ctx)
+	case j.outlastsStop():
+		return u, j.refuse(ReasonStopping, stoppingPause)
+	case !j.allowed():
 		return u, j.refuse(ReasonBudgetSpent, turnedPause)
 	}
 	if j.keyed {
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -52,10 +52,7 @@
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return j.outOfTime(ctx), false
 	}
-	tryCtx, cancel := ctx, context.CancelFunc(func() {})
-	if j.idempotent() && !j.keyed && j.attempts == 0 && j.match.Route.MaxAttempts > 1 {
-		tryCtx, cancel = context.WithTimeout(ctx, max(time.Duration(firstTryShare*float64(left)), j.match.Route.Objective))
-	}
+	tryCtx, bounds := b.bounded(ctx, j.firstTry(left))
 	b.stock.begin(now, u)
 	j.upstream = u.Name
 	j.sends++
@@ -63,12 +60,24 @@
 	j.spent = false
 	got, err := b.pool.Do(tryCtx, j.call(u, left))
 	took := b.options.Clock() - now
+	if err == nil && !bounds.lift() && got.Rest != nil {
+		got.End(false)
+		err = &conns.ErrUnanswered{Cause: context.Cause(tryCtx)}
+	}
 	if err != nil {
-		defer cancel()
+		defer bounds.cancel()
 		j.spent = repeat && isNotSent(err)
 		return j.failed(ctx, u, took, err)
 	}
-	return j.answered(u, took, got, cancel)
+	return j.answered(u, took, got, bounds.cancel)
+}
+
+// firstTry returns after how long a first try that may be repeated gives way, zero where it has all of the time left.
+func (j *job) firstTry(left time.Duration) time.Duration {
+	if !j.idempotent() || j.keyed || j.attempts > 0 || j.match.Route.MaxAttempts < 2 {
+		return 0
+	}
+	return max(time.Duration(firstTryShare*float64(left)), j.match.Route.Objective)
 }
 
 // giveBack takes back a repeat that was counted and not sent.
@@ -124,7 +133,7 @@
 	j.cause = err.Error()
 	if isNotSent(err) {
 		v := verdictNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) {
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errStopping) {
 			v = verdictAbandoned
 		}
 		j.sends--
@@ -142,6 +151,9 @@
 	case ctx.Err() == context.Canceled:
 		j.end(u, verdictAbandoned, took, nil)
 		return j.outOfTime(ctx), false
+	case errors.Is(err, errStopping):
+		j.end(u, verdictAbandoned, took, nil)
+		return j.refuse(ReasonStopping, stoppingPause), false
 	case errors.Is(err, context.DeadlineExceeded):
 		j.end(u, verdictFailed, took, nil)
 		b.pool.Forget(connKey(u))
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -84,6 +84,9 @@
 	}
 	c, err := p.get(ctx, call.Key, call.Address, maxIdle)
 	if err != nil {
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		return nil, &ErrNotSent{Cause: err}
 	}
 	if call.Fits != nil {
@@ -102,7 +105,7 @@
 		p.noteBroken(c, err)
 		x.finish(false)
 		if ctx.Err() != nil {
-			return nil, x.failure(ctx.Err())
+			return nil, x.failure(context.Cause(ctx))
 		}
 		return nil, x.failure(err)
 	}
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -34,11 +34,8 @@
 
 // Times of the daemon's servers.
 const (
-	headerTimeout  = 5 * time.Second
-	callerIdle     = 2 * time.Minute
-	handOverPause  = 600 * time.Millisecond
-	leavePause     = 3 * time.Second
-	leavePollPause = 20 * time.Millisecond
+	headerTimeout = 5 * time.Second
+	callerIdle    = 2 * time.Minute
 )
 
 // gcPercent is how far the heap may grow between collections, in percent of what is in use; small hosts have more processor time
@@ -264,86 +261,3 @@
 		return nil
 	}, func(error) { close(quit) })
 }
-
-// drain stops being ready, serves on while the balancer moves away, leaves the table, lets requests finish and hands
-// over leadership, in that order and within the bound.
-func (d *Daemon) drain(signals <-chan os.Signal) {
-	d.stopping.Store(true)
-	d.log.Write(events.Stopping)
-	if d.broker != nil {
-		d.broker.BeginStop()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainNotice()+d.settings.DrainBound())
-	defer cancel()
-	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	if d.settings.Entry() {
-		pause(ctx, d.settings.DrainNotice())
-		d.follower.Leave()
-	}
-	switch {
-	case d.front != nil:
-		waiting := time.AfterFunc(time.Duration(waitShare*float64(d.settings.DrainBound())), d.broker.StopWaiting)
-		defer waiting.Stop()
-		if err := d.front.Shutdown(ctx); err != nil {
-			d.log.Write(events.DrainCut, zap.Int("connections", d.front.Count()), events.Cause(err))
-		}
-	case d.callers != nil:
-		d.awaitLeft(ctx)
-		_ = d.callers.Shutdown(ctx)
-	}
-	d.awaitFlights(ctx)
-	if d.group != nil {
-		d.group.HandOver(ctx)
-		pause(ctx, handOverPause)
-		if d.outside != nil {
-			_ = d.outside.Shutdown(ctx)
-		}
-	}
-	_ = d.peers.Shutdown(ctx)
-	if d.flights.Load() > 0 {
-		d.log.Write(events.DrainCut, zap.Int64("requests", d.flights.Load()))
-		return
-	}
-	d.log.Write(events.Drained)
-}
-
-// waitShare is the part of a stop's bound for which requests may wait for a slot; the rest is for those at an upstream.
-const waitShare = 0.5
-
-// awaitLeft waits until the table names this host no longer, so that no other entry host sends here.
-func (d *Daemon) awaitLeft(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leavePause)
-	defer cancel()
-	for ctx.Err() == nil && d.inTable() {
-		pause(ctx, leavePollPause)
-	}
-	pause(ctx, d.settings.LeaseTime()/4)
-}
-
-func (d *Daemon) inTable() bool {
-	for _, e := range d.table.View().Entries() {
-		if e.Name == d.settings.Name() {
-			return true
-		}
-	}
-	return false
-}
-
-func (d *Daemon) awaitFlights(ctx context.Context) {
-	for ctx.Err() == nil && d.flights.Load() > 0 {
-		pause(ctx, leavePollPause)
-	}
-}
-
-func pause(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -53,7 +53,7 @@
 		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.tally, Log: d.log, Clock: clock.Boot, InTouch: d.follower.InTouch,
 		Repeats: retry.Terms{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
 	d.front = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, Refused: d.broker.Refused,
-		Unanswered: d.broker.Unanswered})
+		Unanswered: d.broker.Unanswered, Panicked: d.broker.Panicked})
 }
 
 // addBroker listens for callers and adds the broker's parts to those that stop together.
--- a/internal/shared/conf/settings.go
+++ b/internal/shared/conf/settings.go
@@ -129,11 +129,8 @@
 // MaxParked returns how many requests may wait for a slice to get an owner.
 func (s *Settings) MaxParked() int { return s.maxParked }
 
-// DrainNotice returns how long a stopping daemon keeps serving after it stopped being ready.
-func (s *Settings) DrainNotice() time.Duration { return s.drainNotice }
-
-// DrainBound returns how long a stopping daemon lets requests finish.
-func (s *Settings) DrainBound() time.Duration { return s.drainBound }
+// StopTimes returns the bounds of the daemon's stop.
+func (s *Settings) StopTimes() StopTimes { return NewStopTimes(s.drainNotice, s.drainBound) }
 
 // LogLevel returns the lowest level that is logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
