--- a/internal/entry/broker/beside.go
+++ b/internal/entry/broker/beside.go
@@ -28,12 +28,8 @@
 
 // send sends the request and returns the answer. A first try that may be repeated gives way once it has had its part of the time
 // and another upstream has a slot; where there is none it goes on, as its upstream may still answer.
-func (j *job) send(ctx context.Context, end context.CancelCauseFunc, u table.Upstream, left time.Duration) (*conns.Answer, error) {
+func (j *job) send(ctx context.Context, bounds *tryBounds, u table.Upstream, left time.Duration) (*conns.Answer, error) {
 	call := j.call(u, left)
-	part := j.firstTry(left)
-	if part == 0 {
-		return j.broker.pool.Do(ctx, call)
-	}
 	answered, done := context.WithCancel(ctx)
 	result := make(chan exchanged, 1)
 	go func() {
@@ -41,14 +37,14 @@
 		a, err := j.broker.pool.Do(ctx, call)
 		result <- exchanged{answer: a, err: err}
 	}()
-	gaveWay := j.lookBeside(answered, u, part)
-	if gaveWay {
-		end(errGaveWay)
+	if part := j.firstTry(left); part > 0 && j.lookBeside(answered, u, part) {
+		bounds.end(errGaveWay)
 	}
 	r := <-result
-	if gaveWay && r.err == nil && r.answer.Rest != nil {
+	inTime := bounds.lift() && !errors.Is(context.Cause(ctx), errGaveWay)
+	if r.err == nil && r.answer.Rest != nil && !inTime {
 		r.answer.End(false)
-		return nil, &conns.ErrUnanswered{Cause: errGaveWay}
+		return nil, &conns.ErrUnanswered{Cause: context.Cause(ctx)}
 	}
 	return r.answer, r.err
 }
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -54,7 +54,12 @@
 		j.next, j.slot = nil, s.slot
 		return s.upstream, nil
 	}
-	if !j.allowed() {
+	switch {
+	case ctx.Err() != nil:
+		return u, j.outOfTime(ctx)
+	case j.outlastsStop():
+		return u, j.refuse(ReasonStopping, stoppingPause)
+	case !j.allowed():
 		return u, j.refuse(ReasonBudgetSpent, turnedPause)
 	}
 	if j.keyed {
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -54,21 +54,20 @@
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return j.outOfTime(ctx), false
 	}
+	tryCtx, bounds := b.bounded(ctx)
 	b.stock.begin(now, u)
 	j.upstream = u.Name
 	j.sends++
 	repeat := j.spent
 	j.spent = false
-	tryCtx, end := context.WithCancelCause(ctx)
-	cancel := func() { end(nil) }
-	got, err := j.send(tryCtx, end, u, left)
+	got, err := j.send(tryCtx, bounds, u, left)
 	took := b.options.Clock() - now
 	if err != nil {
-		defer cancel()
+		defer bounds.cancel()
 		j.spent = j.spent || repeat && isNotSent(err)
 		return j.failed(ctx, u, took, err)
 	}
-	return j.answered(ctx, u, took, got, cancel)
+	return j.answered(ctx, u, took, got, bounds.cancel)
 }
 
 // giveBack takes back a repeat that was counted and not sent.
@@ -124,7 +123,7 @@
 	j.cause = err.Error()
 	if isNotSent(err) {
 		v := verdictNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) {
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errStopping) {
 			v = verdictAbandoned
 		}
 		j.sends--
@@ -142,6 +141,9 @@
 	case ctx.Err() == context.Canceled:
 		j.end(u, verdictAbandoned, took, nil)
 		return j.outOfTime(ctx), false
+	case errors.Is(err, errStopping):
+		j.end(u, verdictAbandoned, took, nil)
+		return j.refuse(ReasonStopping, stoppingPause), false
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errGaveWay):
 		j.end(u, verdictFailed, took, nil)
 		b.pool.Forget(connKey(u))
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -89,6 +89,9 @@
 	}
 	c, err := p.get(ctx, call.Key, call.Address, maxIdle)
 	if err != nil {
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		return nil, &ErrNotSent{Cause: err}
 	}
 	if call.Fits != nil {
