serve: a stop ends idle connections behind the busy ones

Callers saw a closed connection in place of an answer, 208 to 331 ms after they had sent a whole request on an idle connection of a stopping host; the host logged neither the id nor a cut.

Cause: two, in the same moment. And at the end of the notice all idle connections were closed at once, while answers filled the link: their ends reached the callers behind these, and crossed what was sent meanwhile.

Change: an idle connection of a stopping host stays open and ends with its next answer, or once all connections are idle: then nothing is on its way that its end could wait behind. What comes too late to end in time is refused with 503, as before.

Evidence: TestIdleConnectionsEndBehindTheBusyOnes gets no answer before and passes now; the walk over all orders holds that no idle connection ends while others have requests, and that each ends by itself.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -160,7 +160,8 @@
 mutant stopOfBusyConnections $serve/phase.go 'if p.sealed || p.stopping && before > 0 {' 'if p.sealed || p.stopping && before > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 mutant lastOfTheDue $serve/phase.go '(p.stopping || p.sealed) && p.due == 1' '(p.stopping || p.sealed) && p.due > 0' $serve TestEveryOrderOfAStopAnswersWhatBegan
 mutant endBehindKeptAnswer $serve/phase.go 'end = p.sealed && p.due == 0 && !p.closing' 'end = false' $serve TestEveryOrderOfAStopAnswersWhatBegan
-mutant idleEndsAtStop $serve/phase.go 'return p.stopping && p.due == 0 && !p.reading' 'return false' $serve TestEveryOrderOfAStopAnswersWhatBegan
+mutant idleEndsAtStop $serve/phase.go 'return p.idleEnds && p.due == 0 && !p.reading' 'return false' $serve TestEveryOrderOfAStopAnswersWhatBegan
+mutant idleEndsLast $serve/phase.go 'return p.idleEnds && p.due == 0' 'return p.stopping && p.due == 0' $serve TestIdleConnectionsEndBehindTheBusyOnes
 mutant lastLook $serve/read.go 'if wire.Pending(c.raw) {' 'if wire.Pending(c.raw) && false {' $serve TestStopAnswersWhatIdleConnectionsWereSent
 mutant writtenBeforeStopped $serve/server.go 'for s.Count() > 0 {' 'for false {' $serve TestStopWaitsForTheAnswerBeingWritten
 mutant readOnBehindTheLast $serve/conn.go 'io.Copy(io.Discard, c.reader)' 'io.CopyN(io.Discard, c.reader, 1)' $serve TestLastAnswerIsNotReset
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -200,6 +200,12 @@
 	}
 }
 
+func (c *conn) isIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.phases.idle()
+}
+
 // owes reports whether a request that was read has no answer.
 func (c *conn) owes() bool {
 	c.mutex.Lock()
--- a/internal/entry/serve/dropped_test.go
+++ b/internal/entry/serve/dropped_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -42,12 +40,13 @@
 }
 
 // TestNothingThatWasReadIsDropped sends requests on idle connections in the moment in which the server closes them: each is answered,
-// or its connection is closed without having been read, which resets it.
+// or nothing of it was read.
 func TestNothingThatWasReadIsDropped(t *testing.T) {
 	const rounds, callers = 30, 40
 	c := qt.New(t)
 	for range rounds {
-		f := newFixture(t, echo)
+		taken := &sync.Map{}
+		f := newFixtureBehind(t, echo, func(l net.Listener) net.Listener { return countedListener{Listener: l, taken: taken} })
 		begin := make(chan struct{})
 		var all sync.WaitGroup
 		var dropped atomic.Int64
@@ -58,7 +57,10 @@
 			all.Go(func() {
 				<-begin
 				time.Sleep(time.Duration(n) * 10 * time.Microsecond)
-				if caller.isDropped() {
+				_, _ = io.WriteString(caller.conn, get("/second"))
+				status, _, _ := caller.answer()
+				count, _ := taken.Load(caller.conn.LocalAddr().String())
+				if status == 0 && count.(*atomic.Int64).Load() > int64(len(get("/first"))) {
 					dropped.Add(1)
 				}
 			})
@@ -70,18 +72,64 @@
 	}
 }
 
-// isDropped sends a request and reports whether the server read it and closed the connection without an answer.
-func (c *caller) isDropped() bool {
-	if _, err := io.WriteString(c.conn, get("/second")); err != nil {
-		return false
+// TestIdleConnectionsEndBehindTheBusyOnes holds that a stop does not close an idle connection while answers are due or on their way on
+// others: its end would wait behind them, and what its caller sends meanwhile would get nothing.
+func TestIdleConnectionsEndBehindTheBusyOnes(t *testing.T) {
+	finish := make(chan struct{})
+	f := newFixture(t, func(_ context.Context, r *Request) *Answer {
+		if r.HTTP.URL.Path == "/busy" {
+			<-finish
+		}
+		return Text(http.StatusOK, r.HTTP.URL.Path)
+	})
+	idle, busy := f.dial(), f.dial()
+	idle.send(get("/first"))
+	_, _, _ = idle.answer()
+	busy.send(get("/busy"))
+	for f.server.Owing() == 0 {
+		time.Sleep(time.Millisecond)
 	}
-	_, err := http.ReadResponse(c.reader, nil)
-	if err == nil || errors.Is(err, syscall.ECONNRESET) {
-		return false
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Shutdown(context.Background()) }()
+	time.Sleep(5 * pollPeriod)
+	idle.send(get("/second"))
+	status, body, closes := idle.answer()
+	f.c.Check(status, qt.Equals, http.StatusOK)
+	f.c.Check(body, qt.Equals, "/second\n")
+	f.c.Check(closes, qt.IsTrue)
+	close(finish)
+	status, _, _ = busy.answer()
+	f.c.Check(status, qt.Equals, http.StatusOK)
+	_, _ = idle.conn.Close(), busy.conn.Close()
+	f.c.Check(<-stopped, qt.IsNil)
+}
+
+// countedListener counts what is read from each connection that it takes.
+type countedListener struct {
+	net.Listener
+	taken *sync.Map // of *atomic.Int64, by the caller's address
+}
+
+// countedConn counts what is read from a connection.
+type countedConn struct {
+	*net.TCPConn
+	taken *atomic.Int64
+}
+
+// Accept takes a connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	raw, err := c.conn.(*net.TCPConn).SyscallConn()
-	c.c.Check(err, qt.IsNil)
-	code := 0
-	_ = raw.Control(func(fd uintptr) { code, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
-	return code == 0
+	counted := &countedConn{TCPConn: raw.(*net.TCPConn), taken: &atomic.Int64{}}
+	l.taken.Store(raw.RemoteAddr().String(), counted.taken)
+	return counted, nil
+}
+
+// Read counts what it reads.
+func (c *countedConn) Read(b []byte) (n int, err error) {
+	n, err = c.TCPConn.Read(b)
+	c.taken.Add(int64(n))
+	return n, err
 }
--- a/internal/entry/serve/phase.go
+++ b/internal/entry/serve/phase.go
@@ -5,6 +5,8 @@
 type phases struct {
 	// stopping tells that the answers that are due are the last.
 	stopping bool
+	// idleEnds tells that a connection without a request is to end.
+	idleEnds bool
 	// finishing tells that a request that is not read whole by now is refused.
 	finishing bool
 	// reading tells that bytes of a request were read that has not begun.
@@ -19,11 +21,14 @@
 	closing bool
 }
 
-// stop makes the answers that are due the last.
+// stop makes the answers that are due the last, and the next one of a connection that is idle.
 func (p *phases) stop() { p.stopping = true }
 
+// endIdle also ends connections that have no request.
+func (p *phases) endIdle() { p.stopping, p.idleEnds = true, true }
+
 // finish also ends the reading of requests that have not come whole.
-func (p *phases) finish() { p.stopping, p.finishing = true, true }
+func (p *phases) finish() { p.stopping, p.idleEnds, p.finishing = true, true, true }
 
 // arrive takes in that bytes of a request were read, and reports whether it may still begin.
 func (p *phases) arrive() bool {
@@ -69,8 +74,11 @@
 	return end
 }
 
+// idle reports whether a connection neither has a request nor is about to end.
+func (p *phases) idle() bool { return p.due == 0 && !p.reading && !p.sealed && !p.closing }
+
 // over reports whether a stopping connection has nothing to wait for.
-func (p *phases) over() bool { return p.stopping && p.due == 0 && !p.reading }
+func (p *phases) over() bool { return p.idleEnds && p.due == 0 && !p.reading }
 
 // mustHurry reports whether the reader is not to wait for bytes.
 func (p *phases) mustHurry() bool { return !p.sealed && (p.finishing || p.over()) }
--- a/internal/entry/serve/phase_test.go
+++ b/internal/entry/serve/phase_test.go
@@ -33,6 +33,7 @@
 	ended    bool // the writer has closed
 	gone     bool // the caller has closed
 	stopped  bool
+	idleEnds bool
 	finished bool
 }
 
@@ -54,6 +55,7 @@
 	open := !w.gone && !w.ended
 	add("caller closes", !w.gone, func(n *walked) { n.gone = true })
 	add("stop begins", !w.stopped, func(n *walked) { n.stopped = true; n.p.stop() })
+	add("idle connections end", w.stopped && !w.idleEnds, func(n *walked) { n.idleEnds = true; n.p.endIdle() })
 	add("stop finishes", w.stopped && !w.finished, func(n *walked) { n.finished = true; n.p.finish() })
 	add("bytes are read", open && w.reader == readerWaits && w.sent < maxWalked, func(n *walked) { n.reader = readerHasBytes; n.sent++ })
 	add("bytes are noted", w.reader == readerHasBytes, func(n *walked) { n.reader = pick(n.p.arrive(), readerReads, readerIgnores) })
@@ -103,7 +105,7 @@
 // stuck reports whether a stopping connection comes to its end only if its caller or the bound of the stop does something.
 func (w walked) stuck(steps []step) bool {
 	for _, s := range steps {
-		if s.name != "caller closes" && s.name != "bytes are read" && s.name != "stop finishes" {
+		if s.name != "caller closes" && s.name != "bytes are read" && s.name != "stop finishes" && s.name != "idle connections end" {
 			return false
 		}
 	}
@@ -119,8 +121,12 @@
 		return "answers are counted wrong"
 	case stuck && w.written < w.begun:
 		return "a request that began is never answered"
-	case stuck && !w.ended && w.reader != readerEnds:
+	case stuck && !w.ended && w.reader != readerEnds && !w.p.idle():
 		return "the connection outlives its stop"
+	case stuck && (w.idleEnds || w.finished) && !w.ended && w.reader != readerEnds:
+		return "an idle connection outlives its stop"
+	case w.reader == readerEnds && !w.idleEnds && !w.finished:
+		return "an idle connection ends while others have requests"
 	}
 	return ""
 }
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -23,6 +23,11 @@
 }
 
 func newFixture(t *testing.T, h Handler) *fixture {
+	return newFixtureBehind(t, h, func(l net.Listener) net.Listener { return l })
+}
+
+// newFixtureBehind returns a server that takes connections by way of another listener.
+func newFixtureBehind(t *testing.T, h Handler, behind func(l net.Listener) net.Listener) *fixture {
 	f := &fixture{c: qt.New(t)}
 	start := time.Now()
 	f.server = New(Options{Handler: h, Clock: func() time.Duration { return time.Since(start) }, Limits: func() Limits {
@@ -31,7 +36,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.c.Assert(err, qt.IsNil)
 	f.address = l.Addr().String()
-	go func() { _ = f.server.Serve(l) }()
+	go func() { _ = f.server.Serve(behind(l)) }()
 	f.c.Cleanup(f.server.Close)
 	return f
 }
--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -89,7 +89,7 @@
 	delete(s.conns, c)
 }
 
-// Retire lets each connection end with the answers that are due, and idle ones at once.
+// Retire lets each connection end with the answers that are due, and idle ones with their next answer.
 func (s *Server) Retire() { s.change((*phases).stop) }
 
 // Finish refuses the requests that have not come whole by now; those that have are answered.
@@ -105,8 +105,9 @@
 	}
 }
 
-// Shutdown takes no more connections, ends idle ones and waits until the others have had their answers and the callers have seen
-// the end. It returns an error where answers are still due when the context ends.
+// Shutdown takes no more connections and waits until those that are open have had their answers and the callers have seen the end.
+// Idle ones end once all are idle: the end of a connection that waits behind the answers of others on a full link crosses requests
+// that were sent long after it. It returns an error where answers are still due when the context ends.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "shut down callers' server") }()
 	s.Retire()
@@ -114,6 +115,9 @@
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
 	for s.Count() > 0 {
+		if s.isIdle() {
+			s.change((*phases).endIdle)
+		}
 		select {
 		case <-ctx.Done():
 			if s.Owing() > 0 {
@@ -129,6 +133,18 @@
 // pollPeriod is how often a shutdown looks for connections that have ended.
 const pollPeriod = 20 * time.Millisecond
 
+// isIdle reports whether no connection has a request or is about to end.
+func (s *Server) isIdle() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.conns {
+		if !c.isIdle() {
+			return false
+		}
+	}
+	return true
+}
+
 // Owing returns how many connections owe an answer to a request that was read.
 func (s *Server) Owing() (n int) {
 	s.mutex.Lock()
