group: nothing is acknowledged by quorums of disks that may all be lost

A group that forms itself starts with one voter and acknowledged from its first moment, on one disk, then on two. Disks that were lost together gave way before their successors were caught up, so that five voters became three and two disks decided.

Control serves nothing but enrolment while a quorum of its members is not more disks than `[control] tolerate` allows to be lost; there is one notion of committed, so that reads, grants, entry hosts and resends wait alike. A group that has decided nothing yet waits up to 4 s for all its voters, as two losses must also leave a quorum of them; with one host missing it is served after that. The identity of a lost disk keeps its vote until its host's new one is caught up, then the vote is passed on in two steps (one step would change two votes, whose majorities need not overlap). A learner that lost its disk is dropped once unheard.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -72,8 +72,11 @@
 mutant heldAge $grant/keeper.go 'now-a.Age.Sure()' 'now' $grant TestHeldAnnouncementsRenewFromBefore
 mutant sharedBytes internal/shared/wire/wire.go 'slices.Clone(e.bytes)' 'e.bytes[:len(slices.Clone(e.bytes))]' internal/shared/wire TestSharedMessageStaysWhole
 mutant drainFinishes internal/ops/daemon/daemon.go 'pause(ctx, d.settings.DrainNotice())' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
-mutant uncountedVote $group/form.go 'return !m.StandsBy || g.options.Forming.StandsBy' 'return true' $group TestHostsThatAreNotCountedNeverVote
-mutant uncountedGivesWay $group/form.go '(!g.mayVote(m) || !g.core.HeardWithin(now, m.ID, deadTime))' '!g.core.HeardWithin(now, m.ID, deadTime)' $group TestHostThatIsNoLongerCounted
+mutant growingGroup $group/votes.go ' && !growing' ' && (growing || true)' $group TestAcknowledgedAsSoon
+mutant wholeQuorum $group/votes.go 'return members.Quorum() > g.options.Forming.Voters/2 && !growing' 'return !growing' $group TestGroupWithTooFewHosts
+mutant tooFewRemain $group/members.go ' && rest.Quorum() > g.options.Forming.Voters/2' '' $group TestOperatorsCannotRemove
+mutant uncountedVote $group/votes.go 'return !m.StandsBy || g.options.Forming.StandsBy' 'return true' $group TestHostsThatAreNotCountedNeverVote
+mutant uncountedGivesWay $group/votes.go '(!g.mayVote(m) || !g.core.HeardWithin(now, m.ID, deadTime))' '!g.core.HeardWithin(now, m.ID, deadTime)' $group TestHostThatIsNoLongerCounted
 mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
--- a/internal/control/group/fakes_test.go
+++ b/internal/control/group/fakes_test.go
@@ -1,10 +1,14 @@
 package group
 
 import (
+	"bytes"
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
 )
 
@@ -16,8 +20,15 @@
 	snapshot agree.Snapshot
 	tail     []agree.Entry
 	bytes    int64
+	// endsBeforeSync tells that the process is to end between the write and the sync of the next save.
+	endsBeforeSync bool
+	// durable is what a loss of power leaves where a save was not synced, else nil.
+	durable *fakeDisk
 }
 
+// errEnded is what a save returns in whose middle the process ends.
+var errEnded = errors.New("the process has ended")
+
 func (d *fakeDisk) ID() agree.ReplicaID      { return d.id }
 func (d *fakeDisk) Joined() bool             { return d.joined }
 func (d *fakeDisk) Hard() agree.HardState    { return d.hard }
@@ -37,6 +48,38 @@
 }
 
 func (d *fakeDisk) Save(hard *agree.HardState, entries []agree.Entry) error {
+	if d.endsBeforeSync && (hard != nil || len(entries) > 0) {
+		before := *d
+		before.tail, before.endsBeforeSync = d.Tail(), false
+		d.endsBeforeSync, d.durable = false, &before
+		d.keep(hard, entries)
+		return errEnded
+	}
+	d.keep(hard, entries)
+	return nil
+}
+
+// open begins a process on the folder, which makes durable what it reads, as store.Open does.
+func (d *fakeDisk) open() { d.durable = nil }
+
+// losePower drops what was not synced.
+func (d *fakeDisk) losePower() {
+	if d.durable != nil {
+		*d = *d.durable
+	}
+	d.endsBeforeSync = false
+}
+
+// holds reports whether the data is in an entry or in the snapshot, whatever the loss.
+func (d *fakeDisk) holds(data []byte) bool {
+	if d.durable != nil {
+		return d.durable.holds(data)
+	}
+	return bytes.Contains(d.snapshot.Data, data) ||
+		slices.ContainsFunc(d.tail, func(e agree.Entry) bool { return bytes.Contains(e.Data, data) })
+}
+
+func (d *fakeDisk) keep(hard *agree.HardState, entries []agree.Entry) {
 	for _, e := range entries {
 		for len(d.tail) > 0 && d.tail[len(d.tail)-1].Index >= e.Index {
 			d.tail = d.tail[:len(d.tail)-1]
@@ -47,7 +90,6 @@
 	if hard != nil {
 		d.hard = *hard
 	}
-	return nil
 }
 
 func (d *fakeDisk) SaveSnapshot(s agree.Snapshot) error {
--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -21,6 +21,7 @@
 	orphanTime   = 3 * time.Second         // a member that hears no leader for so long may have been taken out
 	deadTime     = 1800 * time.Millisecond // a voter unheard for longer gives way if a caught-up host stands by; several elections long
 	applicantAge = 2 * time.Second         // an applicant that stopped asking is not taken in
+	growTime     = 4 * time.Second         // hosts that start with the first are taken in well before
 	stepPause    = 50 * time.Millisecond   // pause between steps of membership, several commits long
 )
 
@@ -176,10 +177,15 @@
 	if len(g.options.Forming.Seeds) == 0 {
 		return nil, &oper.ErrRefused{Reason: "operators choose the members of this group"}
 	}
-	err = g.read(ctx, func(l *lead) error {
-		answer = g.enrolNow(l, i)
-		return nil
+	doErr := g.do(ctx, func() {
+		var l *lead
+		if l, err = g.leadingMembers(); err == nil {
+			answer = g.enrolNow(l, i)
+		}
 	})
+	if doErr != nil {
+		return nil, doErr
+	}
 	return answer, err
 }
 
@@ -200,6 +206,7 @@
 		return
 	}
 	l.membersAt = now + stepPause
+	g.noteRedundancy()
 	next, reason := l.nextMembers(now, g)
 	if next == nil {
 		return
@@ -214,6 +221,9 @@
 // nextMembers returns the membership after the next step, or none.
 func (l *lead) nextMembers(now time.Duration, g *Group) (next agree.Members, reason string) {
 	members := g.core.Members()
+	if old, found := g.abandoned(now, members); found {
+		return members.Without(old.ID), "the learner at " + old.Address + " has lost its disk"
+	}
 	for id, a := range l.applicants {
 		if now-a.at > applicantAge {
 			delete(l.applicants, id)
@@ -226,10 +236,7 @@
 			}
 			continue
 		}
-		if old, ok := memberAt(members, a.identity.Address); ok {
-			if old.ID != g.core.ID() && g.canLose(now, members, old.ID) {
-				return members.Without(old.ID), "the host at " + old.Address + " has lost its disk"
-			}
+		if a.identity.Address == g.options.Address {
 			continue
 		}
 		return members.With(agree.Replica{ID: id, Address: a.identity.Address, DataCentre: a.identity.DataCentre,
@@ -237,47 +244,3 @@
 	}
 	return l.promotion(now, g, members)
 }
-
-// promotion gives a caught-up learner a vote where one is wanted, and takes it from a member that gives way where a learner is
-// to follow.
-func (l *lead) promotion(now time.Duration, g *Group, members agree.Members) (next agree.Members, reason string) {
-	for _, m := range members {
-		if m.Voter || !g.mayVote(m) || !g.caughtUp(now, m) {
-			continue
-		}
-		if members.Voters() < g.options.Forming.Voters {
-			m.Voter = true
-			return members.With(m), "a learner is caught up"
-		}
-		for _, old := range members {
-			if g.givesWay(now, old) && g.canLose(now, members, old.ID) {
-				g.options.Log.Write(events.MemberReplaced, zap.String("address", old.Address), zap.Bool("standsBy", old.StandsBy))
-				return members.Without(old.ID), "a voter gives way"
-			}
-		}
-	}
-	return nil, ""
-}
-
-// caughtUp reports whether a member is heard and holds all that is committed.
-func (g *Group) caughtUp(now time.Duration, m agree.Replica) bool {
-	return g.core.HeardWithin(now, m.ID, heardPeriod) && g.core.MatchIndex(m.ID) >= g.core.CommitIndex()
-}
-
-// mayVote reports whether a member may be given a vote. One that is lost beside those that the group is to survive would make
-// a majority of disks that may all be lost; where the founder is such a host, none is told apart.
-func (g *Group) mayVote(m agree.Replica) bool { return !m.StandsBy || g.options.Forming.StandsBy }
-
-// givesWay reports whether a voter is to make room for a learner: it is gone for long, or should not have a vote.
-func (g *Group) givesWay(now time.Duration, m agree.Replica) bool {
-	return m.Voter && m.ID != g.core.ID() && (!g.mayVote(m) || !g.core.HeardWithin(now, m.ID, deadTime))
-}
-
-func memberAt(members agree.Members, address string) (found agree.Replica, ok bool) {
-	for _, m := range members {
-		if m.Address == address {
-			return m, true
-		}
-	}
-	return agree.Replica{}, false
-}
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -437,8 +437,16 @@
 	return &wire.ErrNoLeader{Leader: g.leaderAddress()}
 }
 
-// leading returns the leader's duties if the lease is valid at this very moment.
+// leading returns the leader's duties if the lease is valid at this very moment and changes may be acknowledged.
 func (g *Group) leading() (l *lead, err error) {
+	if l, err = g.leadingMembers(); err == nil && !g.redundant() {
+		return nil, g.notLeading()
+	}
+	return l, err
+}
+
+// leadingMembers returns the leader's duties if the lease is valid at this very moment, though the group may still be growing.
+func (g *Group) leadingMembers() (l *lead, err error) {
 	if g.core == nil || g.lead == nil || g.lead.term != g.core.Term() || !g.core.LeaseValid(g.now()) {
 		return nil, g.notLeading()
 	}
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -45,6 +45,8 @@
 	excludedAt map[uint32]time.Duration
 	applicants map[agree.ReplicaID]applicant
 	membersAt  time.Duration
+	redundant  bool
+	since      time.Duration
 	paces      paces
 }
 
@@ -84,7 +86,7 @@
 }
 
 func newLead(term uint64, terms grant.Terms, now time.Duration, s *state.State) *lead {
-	l := &lead{term: term, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
+	l := &lead{term: term, since: now, keeper: grant.NewKeeper(terms, now, s), services: map[string]*serviceDuty{},
 		upstreams: map[uint32]*upstreamNote{}, lost: map[string]lostEntry{},
 		joining: map[string]uint64{}, health: place.NewHealth(), avoided: map[uint32]bool{},
 		excludedAt: map[uint32]time.Duration{}, applicants: map[agree.ReplicaID]applicant{}, paces: newPaces()}
@@ -110,6 +112,9 @@
 	l := g.lead
 	l.follow(now, g.state)
 	g.reviewMembers(now)
+	if !g.redundant() {
+		return
+	}
 	for _, c := range l.keeper.Due(now, g.state) {
 		g.logDue(c)
 		g.proposeDuty(c)
--- a/internal/control/group/members.go
+++ b/internal/control/group/members.go
@@ -87,12 +87,12 @@
 		return 0, &wire.ErrNoLeader{}
 	}
 	if !g.canLose(g.now(), members, id) {
-		return 0, &oper.ErrRefused{Reason: "the members that would remain are not a quorum of live hosts"}
+		return 0, &oper.ErrRefused{Reason: "the members that would remain are not a quorum of live hosts, or too few for the losses that are tolerated"}
 	}
 	return g.proposeMembers(members.Without(id))
 }
 
-// canLose reports whether the members that stay without one are a quorum of live hosts.
+// canLose reports whether the members that stay without one are a quorum of live hosts, on as many disks as must decide.
 func (g *Group) canLose(now time.Duration, members agree.Members, id agree.ReplicaID) bool {
 	rest := members.Without(id)
 	heard := 0
@@ -101,7 +101,7 @@
 			heard++
 		}
 	}
-	return rest.Voters() > 0 && heard >= rest.Quorum()
+	return rest.Voters() > 0 && heard >= rest.Quorum() && rest.Quorum() > g.options.Forming.Voters/2
 }
 
 func (g *Group) proposeMembers(next agree.Members) (index uint64, err error) {
--- a/internal/control/group/watch.go
+++ b/internal/control/group/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,10 @@
 	}
 	delta := g.state.DeltaSince(w.Version, w.Digest)
 	for _, m := range g.core.Members() {
-		delta.Control = append(delta.Control, table.ControlHost{Address: m.Address, DataCentre: m.DataCentre})
+		host := table.ControlHost{Address: m.Address, DataCentre: m.DataCentre}
+		if !slices.Contains(delta.Control, host) { // a host that lost its disk is a member twice for a moment
+			delta.Control = append(delta.Control, host)
+		}
 	}
 	d := &preparedDelta{delta: &delta, encoded: sync.OnceValues(func() (*wire.Encoded, error) { return wire.Encode(delta) })}
 	p.deltas[key] = d
--- a/internal/control/group/world_forming_test.go
+++ b/internal/control/group/world_forming_test.go
@@ -49,7 +49,7 @@
 	for _, to := range h.world.hosts {
 		h.world.sendOnce(h.name, to.name, func() {
 			to.step(func(g *Group) error {
-				if l, err := g.leading(); err == nil {
+				if l, err := g.leadingMembers(); err == nil {
 					g.enrolNow(l, identity)
 				}
 				return nil
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
 	"ebonyrill.dev/ebonyrill/internal/control/grant"
 	"ebonyrill.dev/ebonyrill/internal/control/state"
@@ -111,6 +113,7 @@
 func (h *fakeHost) start() {
 	h.life++
 	h.down, h.dropSends = false, false
+	h.disk.open()
 	forming := h.world.forming
 	forming.StandsBy = h.standsBy
 	g, err := assemble(Options{Name: h.name, Address: h.name, DataCentre: "dc", Terms: h.world.terms,
@@ -142,6 +145,10 @@
 	if err == nil {
 		err = h.group.perform()
 	}
+	if errors.Is(err, errEnded) {
+		h.crash()
+		return
+	}
 	if err != nil {
 		h.world.breach("%s failed: %v", h.name, err)
 	}
@@ -157,6 +164,12 @@
 	h.life++
 }
 
+// losePower ends the process; of what it persisted only what was synced stays.
+func (h *fakeHost) losePower() {
+	h.crash()
+	h.disk.losePower()
+}
+
 // loseDisk ends the process and empties its data folder.
 func (h *fakeHost) loseDisk() {
 	h.crash()
@@ -315,9 +328,26 @@
 			w.breach("two publishes share version %d", o.Version)
 		}
 	}
+	w.checkDisks(id)
 	w.told = append(w.told, toldOutcome{id: id, outcome: o, at: w.now})
 }
 
+// checkDisks holds that what is told is on more disks of voters than may be lost at once, in a group that forms itself.
+func (w *world) checkDisks(id string) {
+	if w.forming.Voters == 0 {
+		return
+	}
+	disks, voters := 0, w.voters()
+	for _, h := range w.hosts {
+		if slices.Contains(voters, h.name) && h.disk.holds([]byte(id)) {
+			disks++
+		}
+	}
+	if disks <= tolerated {
+		w.breach("publish %s was told with %d disks of %d voters", id, disks, len(voters))
+	}
+}
+
 // checkTold holds that everything told to operators is in the leader's state.
 func (w *world) checkTold() {
 	h := w.leader()
