group: founding is tried again where the disk refused it; a refused marker does not count as joined

The founder tried once to start the group. If its disk refused a write at that moment, nobody started it, as nobody else may. Where the refused file was the last one, the store had already set its marker in memory: the host took itself for a member, without state, and the next call for its members would end the process.

Founding is tried at each period until the folder takes it; the identity in memory changes once its file is in place.

TestFoundingIsTriedAgain and TestRefusedMarkerLeavesTheFolderOutside fail before (joined: false; joined: true) and pass now; mutants foundAgain and refusedMarker are killed.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -77,6 +77,8 @@
 mutant tooFewRemain $group/members.go ' && rest.Quorum() > g.options.Forming.Voters/2' '' $group TestOperatorsCannotRemove
 mutant uncountedVote $group/votes.go 'return !m.StandsBy || g.options.Forming.StandsBy' 'return true' $group TestHostsThatAreNotCountedNeverVote
 mutant uncountedGivesWay $group/votes.go '(!g.mayVote(m) || !g.core.HeardWithin(now, m.ID, deadTime))' '!g.core.HeardWithin(now, m.ID, deadTime)' $group TestHostThatIsNoLongerCounted
+mutant refusedMarker $store/store.go '	return s.writeIdentity(identity{ReplicaID: s.identity.ReplicaID, Joined: true})' '	s.identity.Joined = true; return s.writeIdentity(s.identity)' $store TestRefusedMarker
+mutant foundAgain $group/form.go '			g.found(ctx)' '			g.found(ctx); g.options.Forming.Found = false' $group TestFoundingIsTriedAgain
 mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
--- a/internal/control/group/fakes_test.go
+++ b/internal/control/group/fakes_test.go
@@ -22,6 +22,8 @@
 	bytes    int64
 	// endsBeforeSync tells that the process is to end between the write and the sync of the next save.
 	endsBeforeSync bool
+	// refusals is how many bootstraps the disk refuses.
+	refusals int
 	// durable is what a loss of power leaves where a save was not synced, else nil.
 	durable *fakeDisk
 }
@@ -38,6 +40,10 @@
 func (d *fakeDisk) Close() error             { return nil }
 
 func (d *fakeDisk) Bootstrap(m agree.Members) error {
+	if d.refusals > 0 {
+		d.refusals--
+		return errors.New("the disk refuses")
+	}
 	d.snapshot, d.hard, d.joined = agree.Snapshot{Index: 1, Term: 1, Members: m}, agree.HardState{Term: 1}, true
 	return nil
 }
--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -64,12 +64,12 @@
 		<-ctx.Done()
 		return nil
 	}
-	if g.options.Forming.Found {
-		g.found(ctx)
-	}
 	ticker := time.NewTicker(enrolPeriod)
 	defer ticker.Stop()
 	for {
+		if g.options.Forming.Found {
+			g.found(ctx)
+		}
 		if g.outside(ctx) {
 			g.askToEnrol(ctx)
 		}
@@ -81,7 +81,7 @@
 	}
 }
 
-// found starts a group of this host alone; others join it. It is done once, on a folder that never joined.
+// found starts a group of this host alone; others join it. It is tried until the folder, which never joined, takes it.
 func (g *Group) found(ctx context.Context) {
 	err := g.do(ctx, func() {
 		if g.store.Joined() {
--- a/internal/control/group/start_test.go
+++ b/internal/control/group/start_test.go
@@ -1,12 +1,15 @@
 package group
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"ebonyrill.dev/ebonyrill/internal/control/agree"
+	"ebonyrill.dev/ebonyrill/internal/shared/clock"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/oper"
 )
 
@@ -47,6 +50,32 @@
 	c.Assert(w.broken, qt.HasLen, 0)
 }
 
+// TestFoundingIsTriedAgain lets the disk refuse the first tries; a founder that gave up left the whole system without control.
+func TestFoundingIsTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	d := &fakeDisk{id: 1, refusals: 2}
+	g, err := assemble(Options{Address: "a1", Timing: agree.DefaultTiming(), Log: events.Nop(),
+		Forming: Forming{Seeds: []string{"a1"}, Found: true, Voters: 1}}, d, &silentSender{}, clock.Boot)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- g.Run() }()
+	go func() { ended <- g.RunForming(ctx) }()
+	joined := false
+	for range 100 {
+		c.Assert(g.do(ctx, func() { joined = g.store.Joined() }), qt.IsNil)
+		if joined {
+			break
+		}
+		time.Sleep(enrolPeriod / 10)
+	}
+	c.Check(joined, qt.IsTrue)
+	cancel()
+	g.Stop()
+	c.Check(<-ended, qt.IsNil)
+	c.Check(<-ended, qt.IsNil)
+}
+
 // TestJoiningHostStartsNoOtherGroup asks a host that a group is about to take in to start a group of its own.
 func TestJoiningHostStartsNoOtherGroup(t *testing.T) {
 	c := qt.New(t)
--- a/internal/control/store/disk_test.go
+++ b/internal/control/store/disk_test.go
@@ -70,6 +70,7 @@
 	left    int
 	crashed bool
 	refuses bool
+	refused string // a file that the disk does not open for writing
 }
 
 func newModelDisk(c chance) *modelDisk {
@@ -150,6 +151,9 @@
 
 // OpenFile implements fileSystem.
 func (d *modelDisk) OpenFile(name string, flag int) (file, error) {
+	if name == d.refused {
+		return nil, errRefused
+	}
 	reached, err := d.step(flag&os.O_CREATE != 0)
 	n := d.names[name]
 	if n == nil && flag&os.O_CREATE == 0 {
--- a/internal/control/store/power_test.go
+++ b/internal/control/store/power_test.go
@@ -235,6 +235,20 @@
 	assertTail(c, last, 2, 2)
 }
 
+// TestRefusedMarkerLeavesTheFolderOutside refuses the last file of a bootstrap; the folder counted as joined with nothing on disk.
+func TestRefusedMarkerLeavesTheFolderOutside(t *testing.T) {
+	c := qt.New(t)
+	d := newModelDisk(nothingKept{})
+	s := &Store{folder: "data", files: d}
+	c.Assert(s.load(fixedID), qt.IsNil)
+	d.refused = "data/" + identityFile + ".tmp"
+	c.Assert(s.Bootstrap(agree.Members{{ID: 77, Voter: true}}), qt.ErrorIs, errRefused)
+	c.Assert(s.Joined(), qt.IsFalse)
+	d.refused = ""
+	c.Assert(s.Bootstrap(agree.Members{{ID: 77, Voter: true}}), qt.IsNil)
+	c.Assert(s.Joined(), qt.IsTrue)
+}
+
 // operationsOfWriting is how many operations put a file in place: open, write, sync, rename, sync of the folder.
 const operationsOfWriting = 5
 
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -192,8 +192,7 @@
 	path := filepath.Join(s.folder, identityFile)
 	data, err := s.files.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		s.identity = identity{ReplicaID: newID()}
-		return s.writeIdentity()
+		return s.writeIdentity(identity{ReplicaID: newID()})
 	}
 	if err != nil {
 		return err
@@ -204,17 +203,20 @@
 	return nil
 }
 
-func (s *Store) writeIdentity() (err error) {
-	data, err := json.Marshal(s.identity)
+func (s *Store) writeIdentity(i identity) (err error) {
+	data, err := json.Marshal(i)
 	if err != nil {
 		return err
 	}
-	return s.writeFileSynced(identityFile, data)
+	if err = s.writeFileSynced(identityFile, data); err != nil {
+		return err
+	}
+	s.identity = i
+	return nil
 }
 
 func (s *Store) markJoined() error {
-	s.identity.Joined = true
-	return s.writeIdentity()
+	return s.writeIdentity(identity{ReplicaID: s.identity.ReplicaID, Joined: true})
 }
 
 func (s *Store) writeSnapshot(snapshot agree.Snapshot) (err error) {
