store: a log whose sync was refused is written anew before the replica speaks again

After a refused write the host opened its folder again and appended its hard state as a probe. A sync that fails may leave its pages in the cache as if they were written; the entries are read, answered for, and no later sync of that file writes them.

The probe is a rewrite of the log into a new file.

TestRewriteMakesDurableWhatARefusedSyncDropped names the new method, so it was not run on the code before; mutants rewrittenLog (a sync in place of the rewrite) and rewrittenWhenBack are killed by it and by TestDiskThatIsBackIsWrittenAnewBeforeTheReplicaSpeaks.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -79,6 +79,8 @@
 mutant uncountedGivesWay $group/votes.go '(!g.mayVote(m) || !g.core.HeardWithin(now, m.ID, deadTime))' '!g.core.HeardWithin(now, m.ID, deadTime)' $group TestHostThatIsNoLongerCounted
 mutant refusedMarker $store/store.go '	return s.writeIdentity(identity{ReplicaID: s.identity.ReplicaID, Joined: true})' '	s.identity.Joined = true; return s.writeIdentity(s.identity)' $store TestRefusedMarker
 mutant foundAgain $group/form.go '			g.found(ctx)' '			g.found(ctx); g.options.Forming.Found = false' $group TestFoundingIsTriedAgain
+mutant rewrittenLog $store/store.go '	return s.rewriteLog(s.hard, s.tail)' '	return s.log.Sync()' $store TestRewriteMakesDurable
+mutant rewrittenWhenBack $group/disk.go 'err = g.store.Rewrite(); err != nil' 'false' $group TestDiskThatIsBack
 mutant startByCandidate $group/group.go ' || !m.FromLeader()' '' $group TestGroupStartsHostByHost
 mutant contacts $group/group.go 'g.contacts[m.From] = m.Address' '_ = m.Address' $group TestSoakRepair
 mutant tornTail $store/store.go 'if err = s.log.Truncate(int64(offset)); err != nil {' 'if err != nil {' $store TestTornTail
--- a/internal/control/group/disk.go
+++ b/internal/control/group/disk.go
@@ -37,8 +37,7 @@
 	}
 	g.store = d
 	if g.store.Joined() {
-		hard := g.store.Hard()
-		if err = g.store.Save(&hard, nil); err != nil {
+		if err = g.store.Rewrite(); err != nil {
 			g.options.Log.Write(events.DiskFailed, events.Cause(err))
 			g.closeDisk()
 			return nil
--- a/internal/control/group/fakes_test.go
+++ b/internal/control/group/fakes_test.go
@@ -22,6 +22,7 @@
 	bytes    int64
 	// endsBeforeSync tells that the process is to end between the write and the sync of the next save.
 	endsBeforeSync bool
+	rewritten      int
 	// refusals is how many bootstraps the disk refuses.
 	refusals int
 	// durable is what a loss of power leaves where a save was not synced, else nil.
@@ -39,6 +40,11 @@
 func (d *fakeDisk) LogBytes() int64          { return d.bytes }
 func (d *fakeDisk) Close() error             { return nil }
 
+func (d *fakeDisk) Rewrite() error {
+	d.rewritten++
+	return nil
+}
+
 func (d *fakeDisk) Bootstrap(m agree.Members) error {
 	if d.refusals > 0 {
 		d.refusals--
--- a/internal/control/group/start_test.go
+++ b/internal/control/group/start_test.go
@@ -76,6 +76,20 @@
 	c.Check(<-ended, qt.IsNil)
 }
 
+// TestDiskThatIsBackIsWrittenAnewBeforeTheReplicaSpeaks loses the disk at a refused write; the log was only appended to.
+func TestDiskThatIsBackIsWrittenAnewBeforeTheReplicaSpeaks(t *testing.T) {
+	c := qt.New(t)
+	g, _ := formed(t, Forming{})
+	d := g.store.(*fakeDisk)
+	g.reopen = func() (disk, error) { return d, nil }
+	c.Assert(g.loseDisk(errEnded), qt.IsNil)
+	c.Assert(g.core, qt.IsNil)
+	g.retryAt = g.now()
+	c.Assert(g.findDisk(), qt.IsNil)
+	c.Assert(g.core, qt.IsNotNil)
+	c.Assert(d.rewritten, qt.Equals, 1)
+}
+
 // TestJoiningHostStartsNoOtherGroup asks a host that a group is about to take in to start a group of its own.
 func TestJoiningHostStartsNoOtherGroup(t *testing.T) {
 	c := qt.New(t)
--- a/internal/control/store/disk_test.go
+++ b/internal/control/store/disk_test.go
@@ -46,6 +46,8 @@
 	cached  []byte
 	durable []byte
 	pending []write
+	// dropped tells that a sync failed: the page cache may count what it covered as clean, so that no later sync writes it.
+	dropped bool
 }
 
 // naming is one change of a name since the folder's last sync.
@@ -63,14 +65,15 @@
 // modelDisk is a folder on a disk with a page cache. It ends the process after a number of operations, and may lose power,
 // after which each write and each name since the last sync is there, torn or missing, whatever became of the others.
 type modelDisk struct {
-	chance  chance
-	names   map[string]*node
-	durable map[string]*node
-	pending []naming
-	left    int
-	crashed bool
-	refuses bool
-	refused string // a file that the disk does not open for writing
+	chance      chance
+	names       map[string]*node
+	durable     map[string]*node
+	pending     []naming
+	left        int
+	crashed     bool
+	refuses     bool
+	refusesSync bool   // syncs alone, and what they covered is dropped
+	refused     string // a file that the disk does not open for writing
 }
 
 func newModelDisk(c chance) *modelDisk {
@@ -94,7 +97,7 @@
 }
 
 // restart begins a new process; the page cache stands.
-func (d *modelDisk) restart() { d.crashed, d.refuses, d.left = false, false, -1 }
+func (d *modelDisk) restart() { d.crashed, d.refuses, d.refusesSync, d.left = false, false, false, -1 }
 
 // losePower drops what no sync has covered, or some of it.
 func (d *modelDisk) losePower() {
@@ -235,7 +238,13 @@
 // Sync implements file; it makes the content durable, though not the name.
 func (f *modelFile) Sync() error {
 	reached, err := f.disk.step(true)
-	if reached {
+	if err == nil && f.disk.refusesSync {
+		reached, err = false, errRefused
+	}
+	if errors.Is(err, errRefused) && f.disk.refusesSync {
+		f.node.dropped = true
+	}
+	if reached && !f.node.dropped {
 		f.node.durable, f.node.pending = slices.Clone(f.node.cached), nil
 	}
 	return err
--- a/internal/control/store/power_test.go
+++ b/internal/control/store/power_test.go
@@ -249,6 +249,26 @@
 	c.Assert(s.Joined(), qt.IsTrue)
 }
 
+// TestRewriteMakesDurableWhatARefusedSyncDropped reads a record whose sync was refused; a later sync succeeds and writes nothing.
+func TestRewriteMakesDurableWhatARefusedSyncDropped(t *testing.T) {
+	c := qt.New(t)
+	d := newModelDisk(nothingKept{})
+	s := &Store{folder: "data", files: d}
+	c.Assert(s.load(fixedID), qt.IsNil)
+	c.Assert(s.Bootstrap(agree.Members{{ID: 77, Voter: true}}), qt.IsNil)
+	d.refusesSync = true
+	c.Assert(s.Save(nil, []agree.Entry{entry(2, 1)}), qt.ErrorIs, errRefused)
+	d.restart()
+	s = &Store{folder: "data", files: d}
+	c.Assert(s.load(fixedID), qt.IsNil)
+	assertTail(c, s, 2, 1)
+	c.Assert(s.Rewrite(), qt.IsNil)
+	d.losePower()
+	s = &Store{folder: "data", files: d}
+	c.Assert(s.load(fixedID), qt.IsNil)
+	assertTail(c, s, 2, 1)
+}
+
 // operationsOfWriting is how many operations put a file in place: open, write, sync, rename, sync of the folder.
 const operationsOfWriting = 5
 
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -132,6 +132,13 @@
 	return s.log.Sync()
 }
 
+// Rewrite puts all that the log holds into a new file. After a refused sync the page cache may count what it covered as written,
+// so that a later sync of the same file succeeds and makes nothing durable.
+func (s *Store) Rewrite() (err error) {
+	defer func() { err = errors.WithMessage(err, "rewrite log") }()
+	return s.rewriteLog(s.hard, s.tail)
+}
+
 // SaveSnapshot puts the snapshot on disk and drops the log records that it replaces.
 func (s *Store) SaveSnapshot(snapshot agree.Snapshot) (err error) {
 	defer func() { err = errors.WithMessage(err, "save snapshot") }()
