--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -132,6 +132,13 @@
 	return s.log.Sync()
 }
 
+// Rewrite puts all that the log holds into a new file. After a refused sync the page cache may count what it covered as written,
+// so that a later sync of the same file succeeds and makes nothing durable.
+func (s *Store) Rewrite() (err error) {
+	defer func() { err = errors.WithMessage(err, "rewrite log") }()
+	return s.rewriteLog(s.hard, s.tail)
+}
+
 // SaveSnapshot puts the snapshot on disk and drops the log records that it replaces.
 func (s *Store) SaveSnapshot(snapshot agree.Snapshot) (err error) {
 	defer func() { err = errors.WithMessage(err, "save snapshot") }()
@@ -192,8 +199,7 @@
 	path := filepath.Join(s.folder, identityFile)
 	data, err := s.files.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		s.identity = identity{ReplicaID: newID()}
-		return s.writeIdentity()
+		return s.writeIdentity(identity{ReplicaID: newID()})
 	}
 	if err != nil {
 		return err
@@ -204,17 +210,20 @@
 	return nil
 }
 
-func (s *Store) writeIdentity() (err error) {
-	data, err := json.Marshal(s.identity)
+func (s *Store) writeIdentity(i identity) (err error) {
+	data, err := json.Marshal(i)
 	if err != nil {
 		return err
 	}
-	return s.writeFileSynced(identityFile, data)
+	if err = s.writeFileSynced(identityFile, data); err != nil {
+		return err
+	}
+	s.identity = i
+	return nil
 }
 
 func (s *Store) markJoined() error {
-	s.identity.Joined = true
-	return s.writeIdentity()
+	return s.writeIdentity(identity{ReplicaID: s.identity.ReplicaID, Joined: true})
 }
 
 func (s *Store) writeSnapshot(snapshot agree.Snapshot) (err error) {
