relay, daemon: a stop answers requests of published files too; a long answer is not cut while its request has time

Cause: nothing ended a request's wait for its upstream, its home, an owner or a slot before the end of a stop, where all connections are closed. The bound after which a first try gives way held on while its answer was being passed on, also at the home of a request that came from another host; the patience with a caller counted for a whole answer. Seen by callers: a closed connection in place of an answer around a stop; a long answer cut after two thirds of its request's time, or after 10 s although the caller took it. Change: retry.Bounds, which the broker had for itself, ends waits with ErrStopping for both; relay.StopServing is called in the last phase of a stop, and reason stopping tells of it. Bounds are lifted as an answer begins. The caller's patience counts for each part. Another host is told the request's own time left, and the one that asks gives up its first try itself. Red before (stop_test.go on, StopServing doing nothing): TestStopAnswersRequestsWithoutAnswer (3 cases), TestStopOfAHomeAnswersOtherHosts, TestStopTurnsAwayRequestsThatWait (without a slot; without an owner held before), TestLongAnswerOutlastsTheFirstTry (2 cases), TestCallerThatTakesALongAnswerIsNotGivenUp. TestStopDoesNotCutLongAnswers guards what held.

--- a/internal/entry/broker/answer.go
+++ b/internal/entry/broker/answer.go
@@ -10,6 +10,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 )
 
@@ -75,7 +76,7 @@
 
 // outOfTime returns the answer once the caller's time or the route's is over, or the caller has gone.
 func (j *job) outOfTime(ctx context.Context) *serve.Answer {
-	if errors.Is(context.Cause(ctx), errStopping) {
+	if errors.Is(context.Cause(ctx), retry.ErrStopping) {
 		return j.refuse(ReasonStopping, stoppingPause)
 	}
 	if ctx.Err() == context.Canceled {
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -11,6 +11,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
@@ -171,8 +172,8 @@
 	if left, ok := b.options.Dialect.deadlineOf(r.HTTP.Header); ok {
 		most = min(most, time.Duration(parkShare*float64(left)))
 	}
-	ctx, stop := b.untilStop(ctx)
-	defer stop()
+	ctx, bounds := retry.Bound(ctx, 0, b.mayWait)
+	defer bounds.Cancel()
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	for ctx.Err() == nil && view.Items().Router().Empty() {
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -10,6 +10,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -27,9 +28,9 @@
 		if ctx.Err() != nil {
 			return j.outOfTime(ctx)
 		}
-		waiting, cancel := j.broker.untilStop(ctx)
+		waiting, bounds := retry.Bound(ctx, 0, j.broker.mayWait)
 		u, refusal := j.place(waiting)
-		cancel()
+		bounds.Cancel()
 		if refusal != nil {
 			return refusal
 		}
@@ -52,7 +53,7 @@
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return j.outOfTime(ctx), false
 	}
-	tryCtx, bounds := b.bounded(ctx, j.firstTry(left))
+	tryCtx, bounds := retry.Bound(ctx, j.firstTry(left), b.mayWork)
 	b.stock.begin(now, u)
 	j.upstream = u.Name
 	j.sends++
@@ -60,16 +61,16 @@
 	j.spent = false
 	got, err := b.pool.Do(tryCtx, j.call(u, left))
 	took := b.options.Clock() - now
-	if err == nil && !bounds.lift() && got.Rest != nil {
+	if err == nil && !bounds.Lift() && got.Rest != nil {
 		got.End(false)
 		err = &conns.ErrUnanswered{Cause: context.Cause(tryCtx)}
 	}
 	if err != nil {
-		defer bounds.cancel()
+		defer bounds.Cancel()
 		j.spent = repeat && isNotSent(err)
 		return j.failed(ctx, u, took, err)
 	}
-	return j.answered(u, took, got, bounds.cancel)
+	return j.answered(u, took, got, bounds.Cancel)
 }
 
 // firstTry returns after how long a first try that may be repeated gives way, zero where it has all of the time left.
@@ -133,7 +134,7 @@
 	j.cause = err.Error()
 	if isNotSent(err) {
 		v := verdictNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errStopping) {
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, retry.ErrStopping) {
 			v = verdictAbandoned
 		}
 		j.sends--
@@ -151,7 +152,7 @@
 	case ctx.Err() == context.Canceled:
 		j.end(u, verdictAbandoned, took, nil)
 		return j.outOfTime(ctx), false
-	case errors.Is(err, errStopping):
+	case errors.Is(err, retry.ErrStopping):
 		j.end(u, verdictAbandoned, took, nil)
 		return j.refuse(ReasonStopping, stoppingPause), false
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -13,9 +13,6 @@
 // stoppingPause is the pause that a caller is told to make whom a stopping host turns away; other hosts serve at once.
 const stoppingPause = 10 * time.Millisecond
 
-// errStopping ends the wait for a slot, or for an upstream's answer, where the host stops.
-var errStopping = errors.New("the host stops")
-
 // stop is a stop under way: its beginning, and its bounds by the broker's clock.
 type stop struct {
 	began       time.Duration
@@ -63,44 +60,3 @@
 	s := j.broker.stopping.Load()
 	return s != nil && j.arrived > s.noticeEnds && j.expires > s.servingEnds
 }
-
-// untilStop returns a context that also ends once waiting is over.
-func (b *Broker) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(b.mayWait, func() { cancel(errStopping) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
-// tryBounds are what ends a try before its request's time is over. They hold until the answer begins: one that is being passed on
-// may take as long as the request has time.
-type tryBounds struct {
-	end   context.CancelCauseFunc
-	stop  func() bool
-	timer *time.Timer
-}
-
-// bounded returns the context of a try that gives way after some time, if that is not zero, and where the host stops.
-func (b *Broker) bounded(ctx context.Context, most time.Duration) (context.Context, *tryBounds) {
-	t := &tryBounds{}
-	ctx, t.end = context.WithCancelCause(ctx)
-	t.stop = context.AfterFunc(b.mayWork, func() { t.end(errStopping) })
-	if most > 0 {
-		t.timer = time.AfterFunc(most, func() { t.end(context.DeadlineExceeded) })
-	}
-	return ctx, t
-}
-
-// lift takes the bounds away, and reports whether none of them has ended the try.
-func (t *tryBounds) lift() bool {
-	inTime := t.timer == nil || t.timer.Stop()
-	return t.stop() && inTime
-}
-
-// cancel ends the try.
-func (t *tryBounds) cancel() {
-	t.lift()
-	t.end(nil)
-}
--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
@@ -50,14 +53,22 @@
 	budgets   map[string]*retry.Budget
 	hops      pools
 	patience  time.Duration
+	// mayServe ends when a stop lets no request wait any more.
+	mayServe    context.Context
+	stopServing context.CancelFunc
 }
 
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{options: o, table: o.Table, guard: guard.New(time.Now), upstreams: map[uint32]*upstream{},
+	h := &Handler{options: o, table: o.Table, guard: guard.New(time.Now), upstreams: map[uint32]*upstream{},
 		budgets: map[string]*retry.Budget{}, hops: newHopPools(o.Security), patience: callerPatience}
+	h.mayServe, h.stopServing = context.WithCancel(context.Background())
+	return h
 }
 
+// StopServing ends every request that has no answer yet with one of the host's own; an answer that is being passed on goes on.
+func (h *Handler) StopServing() { h.stopServing() }
+
 // callerPatience is how long a caller may take to send a body or to take an answer before its connection counts as
 // silent.
 const callerPatience = 10 * time.Second
@@ -84,11 +95,26 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	p := h.carry(ctx, c)
+	ctx, bounds := retry.Bound(ctx, 0, h.mayServe)
+	defer bounds.Cancel()
+	p := began(ctx, bounds, h.carry(ctx, c))
 	h.options.Observer.Ended(c.service.Name(), p.outcome, p.reason, p.status, time.Since(c.arrived), c.service.LatencyBound())
 	h.write(w, p)
 }
 
+// began lets a long answer go on whatever stops now, and tells of a request that a stop has ended.
+func began(ctx context.Context, bounds *retry.Bounds, p *reply) *reply {
+	inTime := bounds.Lift()
+	if p.rest != nil && !inTime {
+		p.rest.close()
+		return unknown(ReasonStopping)
+	}
+	if p.status == 0 && errors.Is(context.Cause(ctx), retry.ErrStopping) {
+		p.reason = ReasonStopping
+	}
+	return p
+}
+
 // readBody reads a request's body up to the limit and within the caller's time. After a body that did not come whole
 // the time stays over, so that the server gives the connection up.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) (body []byte, whole bool, err error) {
@@ -239,7 +265,7 @@
 	}
 	defer p.rest.close()
 	if err == nil {
-		err = p.rest.copyTo(w)
+		err = p.rest.copyTo(&patientWriter{to: w, control: control, patience: h.patience})
 	}
 	if err != nil {
 		h.options.Log.Write(events.RequestTruncated, events.Cause(err))
@@ -247,6 +273,19 @@
 	}
 }
 
+// patientWriter gives a caller the whole patience for each part of a long answer.
+type patientWriter struct {
+	to       io.Writer
+	control  *http.ResponseController
+	patience time.Duration
+}
+
+// Write writes a part.
+func (p *patientWriter) Write(b []byte) (n int, err error) {
+	_ = p.control.SetWriteDeadline(time.Now().Add(p.patience))
+	return p.to.Write(b)
+}
+
 func refusalStatus(p *reply) int {
 	switch {
 	case p.reason == ReasonAmbiguous:
--- a/internal/entry/relay/headers.go
+++ b/internal/entry/relay/headers.go
@@ -58,6 +58,7 @@
 	ReasonTooLarge    Reason = "tooLarge"
 	ReasonNotReady    Reason = "notReady"
 	ReasonRetries     Reason = "retriesSpent"
+	ReasonStopping    Reason = "stopping"
 )
 
 // hopHeaders are the headers of one connection, which are not passed on.
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -11,9 +11,11 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -46,6 +48,8 @@
 	}
 	runCtx, cancel := detached(ctx, c.deadline)
 	defer cancel()
+	runCtx, bounds := retry.Bound(runCtx, 0, h.mayServe)
+	defer bounds.Cancel()
 	p := h.queueAndForward(runCtx, c, target)
 	if p.rest != nil && !p.rest.readWhole(&p.body) {
 		p = unknown(ReasonTruncated)
@@ -141,10 +145,12 @@
 
 // forward sends the request to the upstream and reads the answer.
 func (h *Handler) forward(ctx context.Context, c *call, target route.Target, u *upstream, deadline time.Time) *reply {
-	if c.handling.Idempotent {
-		deadline = firstTryDeadline(c, deadline)
+	ctx, end := context.WithDeadline(ctx, deadline)
+	ctx, bounds := retry.Bound(ctx, firstTry(c, deadline), context.Background())
+	cancel := func() {
+		bounds.Cancel()
+		end()
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
 	attempt := strconv.FormatUint(rand.Uint64(), 36)
 	sent := &wire.Sent{}
 	request := h.upstreamRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, deadline, attempt)
@@ -155,17 +161,22 @@
 		return h.failed(ctx, u, sent)
 	}
 	p := h.read(response, target, attempt, cancel)
+	if p.rest != nil && !bounds.Lift() {
+		p.rest.close()
+		p = unknown(ReasonTimeout)
+	}
 	h.options.Observer.Seen(target.Upstream().Number, p.outcome == Unknown || p.status >= http.StatusInternalServerError && p.outcome == Done)
 	return p
 }
 
-// firstTryDeadline leaves time for a retry of an idempotent request on a fresh connection.
-func firstTryDeadline(c *call, deadline time.Time) time.Time {
+// firstTry returns after how long a try of an idempotent request gives way to one on a fresh connection, zero where it has all of the
+// time.
+func firstTry(c *call, deadline time.Time) time.Duration {
 	left := time.Until(deadline)
-	if try := time.Now().Add(left * 2 / 3); try.Before(deadline) && left > minRetryTime {
-		return try
+	if !c.handling.Idempotent || left <= minRetryTime {
+		return 0
 	}
-	return deadline
+	return left * 2 / 3
 }
 
 // minRetryTime is the shortest deadline within which a second try makes sense.
@@ -173,7 +184,7 @@
 
 // failed classifies a try that brought no answer.
 func (h *Handler) failed(ctx context.Context, u *upstream, sent *wire.Sent) *reply {
-	if ctx.Err() == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		u.pools.condemn()
 		h.options.Log.Write(events.PathCondemned, zap.String("upstream", u.info.Name))
 	}
--- a/internal/entry/relay/hop.go
+++ b/internal/entry/relay/hop.go
@@ -10,19 +10,17 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/guard"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
 // sendHome makes one try by way of the owner's home.
 func (h *Handler) sendHome(ctx context.Context, c *call, target route.Target) *reply {
-	deadline := c.deadline
-	if c.handling.Idempotent {
-		deadline = firstTryDeadline(c, deadline)
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, bounds := retry.Bound(ctx, firstTry(c, c.deadline), context.Background())
+	cancel := bounds.Cancel
 	sent := &wire.Sent{}
-	request, err := h.hopRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, deadline)
+	request, err := h.hopRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, c.deadline)
 	if err != nil {
 		cancel()
 		return notRun(ReasonBadRequest)
@@ -32,7 +30,12 @@
 		defer cancel()
 		return h.hopFailed(ctx, sent)
 	}
-	return h.readHop(response, cancel)
+	p := h.readHop(response, cancel)
+	if p.rest != nil && !bounds.Lift() {
+		p.rest.close()
+		return unknown(ReasonTimeout)
+	}
+	return p
 }
 
 // hopFailed classifies a try that the home did not answer; only when no byte was sent is it sure that the request did
@@ -112,6 +115,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, bounds := retry.Bound(ctx, 0, h.mayServe)
+	defer bounds.Cancel()
 	target := h.table.Find(c.service.Name(), c.hash)
 	asked, _ := strconv.ParseUint(r.Header.Get(headerVersion), 10, 64)
 	if target.Version() < asked {
@@ -123,7 +128,7 @@
 		writeRefusal(w, &errBadCall{http.StatusServiceUnavailable, ReasonMoved, "this host is not the owner's home"})
 		return
 	}
-	h.write(w, h.sendHere(ctx, c, target))
+	h.write(w, began(ctx, bounds, h.sendHere(ctx, c, target)))
 }
 
 // hopCall rebuilds the call that another entry host sent.
--- /dev/null
+++ b/internal/entry/relay/stop_test.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// answerInParts writes a long answer whose end comes after a pause.
+func answerInParts(parts int, pause time.Duration) script {
+	return func(conn net.Conn, r *http.Request) {
+		length := 2 * bufferedBytes
+		writeRaw(conn, r.Header.Get(HeaderAttemptID), length, "")
+		for range parts {
+			_, _ = conn.Write([]byte(strings.Repeat("x", length/parts)))
+			time.Sleep(pause)
+		}
+	}
+}
+
+// TestStopAnswersRequestsWithoutAnswer holds that a stop ends each request that has no answer with one of the host's own, which promises
+// that it did not run only where that is known.
+func TestStopAnswersRequestsWithoutAnswer(t *testing.T) {
+	cases := []struct {
+		name    string
+		method  string
+		headers []string
+		outcome Outcome
+		status  int
+	}{
+		{"idempotent, silent upstream", "GET", nil, Unknown, http.StatusBadGateway},
+		{"not idempotent, silent upstream", "POST", nil, Unknown, http.StatusBadGateway},
+		{"with an id, silent upstream", "POST", []string{HeaderRequestID, "i", HeaderAttempt, "1"}, Unknown, http.StatusBadGateway},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			f, u := withUpstream(t, silence)
+			seen := make(chan got, 1)
+			go func() { seen <- f.do(v.method, "/frames/k/closure", v.headers...) }()
+			awaitRuns(f.c, u, 1)
+			f.handler.StopServing()
+			g := <-seen
+			assertOutcome(f.c, g, v.outcome, u, 1)
+			f.c.Check(g.status, qt.Equals, v.status)
+			f.c.Check(g.reason, qt.Equals, ReasonStopping)
+		})
+	}
+}
+
+// TestStopOfAHomeAnswersOtherHosts holds that a home that stops answers the requests that other hosts passed on to it.
+func TestStopOfAHomeAnswersOtherHosts(t *testing.T) {
+	far, home, u := mustPair(t, silence, nil)
+	seen := make(chan got, 1)
+	go func() { seen <- far.do("POST", "/frames/k/closure") }()
+	awaitRuns(far.c, u, 1)
+	home.handler.StopServing()
+	g := <-seen
+	assertOutcome(far.c, g, Unknown, u, 1)
+	far.c.Check(g.reason, qt.Equals, ReasonStopping)
+}
+
+// TestStopTurnsAwayRequestsThatWait holds that a request without an owner, or without a slot, is refused as not run.
+func TestStopTurnsAwayRequestsThatWait(t *testing.T) {
+	t.Run("without an owner", func(t *testing.T) {
+		f, u := withUpstream(t, silence)
+		f.own(0, 8, 11)
+		seen := make(chan got, 1)
+		go func() { seen <- f.do("GET", "/frames/k") }()
+		for f.table.Parked() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.handler.StopServing()
+		assertOutcome(f.c, <-seen, NotRun, u, 0)
+	})
+	t.Run("without a slot", func(t *testing.T) {
+		f, u := withUpstream(t, silence)
+		seen := make(chan got, 8)
+		for range 4 {
+			go func() { seen <- f.do("GET", "/frames/k") }()
+		}
+		awaitRuns(f.c, u, 3)
+		for _, waiting := f.handler.Load(); waiting == 0; _, waiting = f.handler.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		f.handler.StopServing()
+		outcomes := map[Outcome]int{}
+		for range 4 {
+			g := <-seen
+			outcomes[g.outcome]++
+			f.c.Check(g.reason, qt.Equals, ReasonStopping)
+		}
+		f.c.Check(outcomes, qt.DeepEquals, map[Outcome]int{Unknown: 3, NotRun: 1})
+	})
+}
+
+// TestStopDoesNotCutLongAnswers holds that an answer of which the caller has a part comes to its end.
+func TestStopDoesNotCutLongAnswers(t *testing.T) {
+	f, _ := withUpstream(t, answerInParts(2, 300*time.Millisecond))
+	response, err := f.server.Client().Get(f.server.URL + "/frames/k")
+	f.c.Assert(err, qt.IsNil)
+	f.handler.StopServing()
+	body, err := io.ReadAll(response.Body)
+	f.c.Check(err, qt.IsNil)
+	f.c.Check(body, qt.HasLen, 2*bufferedBytes)
+}
+
+// TestLongAnswerOutlastsTheFirstTry holds that the bound after which a first try gives way does not cut an answer that has begun, at
+// the owner's home and by way of it.
+func TestLongAnswerOutlastsTheFirstTry(t *testing.T) {
+	slow := answerInParts(2, 1400*time.Millisecond)
+	t.Run("here", func(t *testing.T) {
+		f, u := withUpstream(t, slow)
+		assertOutcome(f.c, f.do("GET", "/frames/k"), Done, u, 1)
+	})
+	t.Run("by way of the home", func(t *testing.T) {
+		far, _, u := mustPair(t, slow, nil)
+		assertOutcome(far.c, far.do("GET", "/frames/k"), Done, u, 1)
+	})
+}
+
+// TestCallerThatTakesALongAnswerIsNotGivenUp holds that the patience with callers counts for each part of an answer.
+func TestCallerThatTakesALongAnswerIsNotGivenUp(t *testing.T) {
+	f, u := withUpstream(t, answerInParts(8, 100*time.Millisecond))
+	f.handler.patience = 300 * time.Millisecond
+	assertOutcome(f.c, f.do("GET", "/frames/k"), Done, u, 1)
+}
+
+// awaitRuns waits until the upstream has read so many requests.
+func awaitRuns(c *qt.C, u *scripted, n int64) {
+	c.Helper()
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if u.runs.Load() >= n {
+			return
+		}
+	}
+	c.Fatal("the upstream is not asked")
+}
--- a/internal/ops/daemon/stop.go
+++ b/internal/ops/daemon/stop.go
@@ -39,6 +39,8 @@
 			d.log.Write(events.DrainCut, zap.Int("connections", d.front.Owing()), events.Cause(err))
 		}
 	case d.callers != nil:
+		serving := time.AfterFunc(d.settings.StopTimes().Serving(), d.relay.StopServing)
+		defer serving.Stop()
 		pause(ctx, d.settings.StopTimes().Notice())
 		d.follower.Leave()
 		d.awaitLeft(ctx)
