--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -127,6 +127,7 @@
 mutant halfReadAtStop $broker/stop.go 'front.Finish()' '_ = front' $broker TestStopAnswersEveryRequestThatWasRead
 mutant longAnswerAtStop $broker/run.go '!bounds.Lift() && got.Rest != nil' 'got.Rest == nil && !bounds.Lift()' $broker TestStopDoesNotCutLongAnswers
 mutant longAnswerInTry $broker/run.go '!bounds.Lift() && got.Rest != nil' 'got.Rest == nil && !bounds.Lift()' $broker TestLongAnswerOutlastsTheFirstTry
+mutant lastSixth internal/shared/conf/stop.go 'serveShare = 0.86' 'serveShare = 0.8' internal/shared/conf TestPhasesOfAStopFitItsTime
 mutant tooLateForStop $broker/stop.go 'j.arrived > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
 mutant stopOfBusyConnections $serve/phase.go 'if p.sealed || p.stopping && before > 0 {' 'if p.sealed || p.stopping && before > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
