serve: a stop closes the listener before it ends idle connections

Cause: ended idle connections first, so that a caller could connect again to the host that stops. TestStop showed it in 1 of 5 runs at a load of 45. Seen by callers: a new connection that was ended at once. Measured: the package passes 10 times under the race detector.

--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -109,8 +109,8 @@
 // the end. It returns an error where answers are still due when the context ends.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "shut down callers' server") }()
-	s.Retire()
 	s.closeListener()
+	s.Retire()
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
 	for s.Count() > 0 {
