serve: callers of HTTP/1.0 get long answers of unknown length without chunks

Cause: chunks were written to every caller. Seen by callers of HTTP/1.0: chunk sizes within the body. Change: such an answer ends with its connection, and one that breaks off ends by a reset, as it must not look whole. Red before: TestOldCallersReadLongAnswers/whole on.

--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -118,7 +118,7 @@
 	a := c.server.options.Handler(c.ctx, x.request)
 	if a != nil {
 		x.request.SetStage(StageAnswered)
-		a.withoutBody(x.request.HTTP.Method)
+		a.fit(x.request.HTTP)
 	}
 	x.answer <- a
 }
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -259,3 +259,33 @@
 type broken struct{}
 
 func (*broken) Read([]byte) (int, error) { return 0, fmt.Errorf("broken off") }
+
+// TestOldCallersReadLongAnswers holds that a caller that knows no chunks gets an answer of unknown length as it is, and that one that
+// breaks off does not look whole.
+func TestOldCallersReadLongAnswers(t *testing.T) {
+	cases := []struct {
+		name  string
+		rest  io.Reader
+		whole bool
+	}{
+		{"whole", strings.NewReader("rest"), true},
+		{"broken", &broken{}, false},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			f := newFixture(t, func(context.Context, *Request) *Answer {
+				return &Answer{Status: 200, Header: http.Header{}, Body: []byte("body"), Rest: v.rest, Length: -1}
+			})
+			c := f.dial()
+			c.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+			r, err := http.ReadResponse(c.reader, nil)
+			f.c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(r.Body)
+			f.c.Check(err == nil, qt.Equals, v.whole)
+			if v.whole {
+				f.c.Check(r.TransferEncoding, qt.HasLen, 0)
+				f.c.Check(string(body), qt.Equals, "bodyrest")
+			}
+		})
+	}
+}
--- a/internal/entry/serve/types.go
+++ b/internal/entry/serve/types.go
@@ -26,6 +26,14 @@
 	Length int64
 	Close  bool
 	Done   func(written bool)
+	// untilClose tells that the caller takes the end of the connection for that of an answer of unknown length.
+	untilClose bool
+}
+
+// fit makes an answer one that the request's caller can read.
+func (a *Answer) fit(r *http.Request) {
+	a.withoutBody(r.Method)
+	a.untilClose = !r.ProtoAtLeast(1, 1) && a.Rest != nil && a.Length < 0
 }
 
 // withoutBody takes the body off an answer to a request for the header alone.
--- a/internal/entry/serve/write.go
+++ b/internal/entry/serve/write.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,6 +58,7 @@
 		a.Done(err == nil)
 	}
 	if err != nil {
+		c.breakOff(a)
 		c.abort(causeOf(err), err)
 		c.written()
 		return false
@@ -68,6 +70,13 @@
 	return true
 }
 
+// breakOff makes the end of the connection a reset where a usual one would make a part of an answer look whole.
+func (c *conn) breakOff(a *Answer) {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && a.untilClose {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // endsWith reports whether the connection ends with the answer that is about to be written.
 func (c *conn) endsWith(closes bool) bool {
 	c.mutex.Lock()
@@ -97,7 +106,7 @@
 }
 
 // chunked reports whether an answer's length is not known before it ends.
-func chunked(a *Answer) bool { return a.Rest != nil && a.Length < 0 }
+func chunked(a *Answer) bool { return a.Rest != nil && a.Length < 0 && !a.untilClose }
 
 // chunkOf returns the first part of the body as it goes on the wire.
 func chunkOf(a *Answer) []byte {
@@ -134,6 +143,7 @@
 	switch {
 	case chunked(a):
 		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case a.untilClose:
 	case a.Rest != nil || a.Length > int64(len(a.Body)):
 		b.WriteString("Content-Length: " + strconv.FormatInt(a.Length, 10) + "\r\n")
 	case a.Status != http.StatusNoContent && a.Status != http.StatusNotModified:
@@ -166,7 +176,7 @@
 		case readErr == io.EOF && chunked(a):
 			_, err = io.WriteString(c.raw, "0\r\n\r\n")
 			return err
-		case readErr == io.EOF && left == 0:
+		case readErr == io.EOF && (left == 0 || a.untilClose):
 			return nil
 		case readErr == io.EOF:
 			return &errRest{io.ErrUnexpectedEOF}
