serve: a request's body is let go with its answer; mutants for answers to old callers

Cause: since a connection keeps each request until its answer is written, with its body. Seen by callers: nothing.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -140,6 +140,8 @@
 mutant continueInOrder $serve/read.go 'c.order <- &exchange{interim: true}' '_ = c.writeContinue()' $serve TestExpectedBodyIsAskedForBetweenAnswers
 mutant panicIsAnswered $serve/conn.go 'x.answer <- Text(http.StatusBadGateway, "the request could not be handled")' 'panic(Text(http.StatusBadGateway, "the request could not be handled"))' $serve TestPanicEndsOneRequest
 mutant headHasNoBody $serve/types.go 'if method == http.MethodHead &&' 'if false &&' $serve TestHeadGetsNoBody
+mutant plainForOldCallers $serve/types.go 'a.untilClose = !r.ProtoAtLeast(1, 1) &&' 'a.untilClose = false &&' $serve TestOldCallersReadLongAnswers/whole
+mutant resetForOldCallers $serve/write.go '_ = tcp.SetLinger(0)' '_ = tcp' $serve TestOldCallersReadLongAnswers/broken
 mutant slowBodyIsRefused $serve/read.go 'return nil, c.late("the body did not come in time")' 'return nil, &unread{gone: err}' $serve TestSlowBodyCostsNoOtherAnswer
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -116,6 +116,7 @@
 		x.answer <- Text(http.StatusBadGateway, "the request could not be handled")
 	}()
 	a := c.server.options.Handler(c.ctx, x.request)
+	x.request.Body = nil // the request is kept until its answer is written, the body need not be
 	if a != nil {
 		x.request.SetStage(StageAnswered)
 		a.fit(x.request.HTTP)
