--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -71,7 +71,7 @@
 mutant forwardedAgain $group/forward.go 'return since >= forwardLate' 'return false' $group TestFollowerForwardsRenewals
 mutant heldAge $grant/keeper.go 'now-a.Age.Sure()' 'now' $grant TestHeldAnnouncementsRenewFromBefore
 mutant sharedBytes internal/shared/wire/wire.go 'slices.Clone(e.bytes)' 'e.bytes[:len(slices.Clone(e.bytes))]' internal/shared/wire TestSharedMessageStaysWhole
-mutant drainFinishes internal/ops/daemon/daemon.go 'pause(ctx, d.settings.DrainNotice())' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
+mutant drainFinishes internal/ops/daemon/stop.go 'pause(ctx, d.settings.StopTimes().Notice())' '_ = d.callers.Close()' internal/ops/daemon TestGracefulStopCutsNothing
 mutant growingGroup $group/votes.go ' && !growing' ' && (growing || true)' $group TestAcknowledgedAsSoon
 mutant wholeQuorum $group/votes.go 'return members.Quorum() > g.options.Forming.Voters/2 && !growing' 'return !growing' $group TestGroupWithTooFewHosts
 mutant tooFewRemain $group/members.go ' && rest.Quorum() > g.options.Forming.Voters/2' '' $group TestOperatorsCannotRemove
@@ -122,11 +122,7 @@
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
 mutant homeHead $relay/upstream.go '		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
 ' '' $relay TestEndlessHeadIsBounded
-mutant longAnswerToAnID $relay/here.go '	if p.rest != nil {
-		p.rest.onClose = append(p.rest.onClose, cancel)
-	} else {
-		cancel()
-	}' '	cancel()' $relay TestEndlessAnswerToAnIDIsPassedOn
+mutant longAnswerToAnID $relay/here.go 'p.rest.onClose = append(p.rest.onClose, bounds.Cancel, cancel)' 'cancel()' $relay TestEndlessAnswerToAnIDIsPassedOn
 mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
@@ -139,6 +135,12 @@
 		return Shed, nil' '+q.average > t.deadline && false {
 		return Shed, nil' internal/entry/admit TestHopelessRequestIsShedAtOnce
 mutant wireVersion internal/shared/wire/wire.go 'v != Version' 'false' internal/shared/wire TestOtherVersions
+mutant relayAnswersAtStop $relay/handler.go 'retry.Bound(ctx, 0, h.mayServe)' 'retry.Bound(ctx, 0, context.Background())' $relay TestStopAnswersRequestsWithoutAnswer
+mutant relayHomeAtStop $relay/hop.go 'retry.Bound(ctx, 0, h.mayServe)' 'retry.Bound(ctx, 0, context.Background())' $relay TestStopOfAHomeAnswersOtherHosts
+mutant relayLongAnswerAtStop $relay/handler.go 'inTime := bounds.Lift()' 'inTime := true' $relay TestStopDoesNotCutLongAnswers
+mutant relayLongAnswerInTry $relay/here.go 'p.rest != nil && !bounds.Lift()' 'false' $relay TestLongAnswerOutlastsTheFirstTry
+mutant relayLongAnswerInHop $relay/hop.go 'p.rest != nil && !bounds.Lift()' 'false' $relay TestLongAnswerOutlastsTheFirstTry
+mutant patienceForEachPart $relay/handler.go 'p.control.SetWriteDeadline(time.Now().Add(p.patience))' 'error(nil)' $relay TestCallerThatTakesALongAnswerIsNotGivenUp
 mutant silentCalls internal/shared/wire/wire.go 'c.http.CloseIdleConnections()' '_ = c' internal/shared/wire TestSilentConnectionCostsOneCall
 deal=internal/entry/deal
 broker=internal/entry/broker
@@ -151,9 +153,10 @@
 mutant hurriedIsNotQueued $deal/desk.go 'if a.Hurry && (' 'if false && (' $deal TestHurriedAskIsNotQueued
 mutant hostBudget $broker/budget.go 'hostShare = 0.95' 'hostShare = 1.6' $broker TestHostsKeepTheBudgetInSum
 mutant withdrawnFromLeaving $broker/run.go 'if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {' 'if false && (!ok || !j.broker.mayServe(j.broker.options.Clock(), current)) {' $broker TestNothingIsSentToOneThatLeftMeanwhile
-mutant waitingAtStop $broker/stop.go '{ cancel(errStopping) }' '{ _ = cancel }' $broker TestStopTurnsAwayThoseWhoWait
-mutant answersAtStop $broker/stop.go '{ t.end(errStopping) }' '{ _ = t }' $broker TestStopAnswersEveryRequestThatWasRead
+mutant waitingAtStop $broker/run.go '0, j.broker.mayWait)' '0, context.Background())' $broker TestStopTurnsAwayThoseWhoWait
+mutant answersAtStop $broker/run.go 'retry.Bound(ctx, 0, b.mayWork)' 'retry.Bound(ctx, 0, context.Background())' $broker TestStopAnswersEveryRequestThatWasRead
 mutant halfReadAtStop $broker/stop.go 'front.Finish()' '_ = front' $broker TestStopAnswersEveryRequestThatWasRead
+mutant lastSixth internal/shared/conf/stop.go 'serveShare = 0.86' 'serveShare = 0.8' internal/shared/conf TestPhasesOfAStopFitItsTime
 mutant longAnswerAtStop $broker/beside.go 'r.answer.Rest != nil && !inTime' 'r.answer.Rest == nil && !inTime' $broker TestStopDoesNotCutLongAnswers
 mutant tooLateForStop $broker/stop.go 'j.arrived > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
@@ -175,6 +178,8 @@
 mutant continueInOrder $serve/read.go 'c.order <- &exchange{interim: true}' '_ = c.writeContinue()' $serve TestExpectedBodyIsAskedForBetweenAnswers
 mutant panicIsAnswered $serve/conn.go 'x.answer <- Text(http.StatusBadGateway, "the request could not be handled")' 'panic(Text(http.StatusBadGateway, "the request could not be handled"))' $serve TestPanicEndsOneRequest
 mutant headHasNoBody $serve/types.go 'if method == http.MethodHead &&' 'if false &&' $serve TestHeadGetsNoBody
+mutant plainForOldCallers $serve/types.go 'a.untilClose = !r.ProtoAtLeast(1, 1) &&' 'a.untilClose = false &&' $serve TestOldCallersReadLongAnswers/whole
+mutant resetForOldCallers $serve/write.go '_ = tcp.SetLinger(0)' '_ = tcp' $serve TestOldCallersReadLongAnswers/broken
 mutant slowBodyIsRefused $serve/read.go 'return nil, c.late("the body did not come in time")' 'return nil, &unread{gone: err}' $serve TestSlowBodyCostsNoOtherAnswer
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/broker/beside.go
+++ b/internal/entry/broker/beside.go
@@ -8,6 +8,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -28,7 +29,7 @@
 
 // send sends the request and returns the answer. A first try that may be repeated gives way once it has had its part of the time
 // and another upstream has a slot; where there is none it goes on, as its upstream may still answer.
-func (j *job) send(ctx context.Context, bounds *tryBounds, u table.Upstream, left time.Duration) (*conns.Answer, error) {
+func (j *job) send(ctx context.Context, bounds *retry.Bounds, u table.Upstream, left time.Duration) (*conns.Answer, error) {
 	call := j.call(u, left)
 	answered, done := context.WithCancel(ctx)
 	result := make(chan exchanged, 1)
@@ -38,10 +39,10 @@
 		result <- exchanged{answer: a, err: err}
 	}()
 	if part := j.firstTry(left); part > 0 && j.lookBeside(answered, u, part) {
-		bounds.end(errGaveWay)
+		bounds.End(errGaveWay)
 	}
 	r := <-result
-	inTime := bounds.lift() && !errors.Is(context.Cause(ctx), errGaveWay)
+	inTime := bounds.Lift() && !errors.Is(context.Cause(ctx), errGaveWay)
 	if r.err == nil && r.answer.Rest != nil && !inTime {
 		r.answer.End(false)
 		return nil, &conns.ErrUnanswered{Cause: context.Cause(ctx)}
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -11,6 +11,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/deal"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -29,9 +30,9 @@
 		if ctx.Err() != nil {
 			return j.outOfTime(ctx)
 		}
-		waiting, cancel := j.broker.untilStop(ctx)
+		waiting, bounds := retry.Bound(ctx, 0, j.broker.mayWait)
 		u, refusal := j.place(waiting)
-		cancel()
+		bounds.Cancel()
 		if refusal != nil {
 			return refusal
 		}
@@ -54,7 +55,7 @@
 		j.release(deal.Result{Fate: deal.Abandoned})
 		return j.outOfTime(ctx), false
 	}
-	tryCtx, bounds := b.bounded(ctx)
+	tryCtx, bounds := retry.Bound(ctx, 0, b.mayWork)
 	b.stock.begin(now, u)
 	j.upstream = u.Name
 	j.sends++
@@ -63,11 +64,11 @@
 	got, err := j.send(tryCtx, bounds, u, left)
 	took := b.options.Clock() - now
 	if err != nil {
-		defer bounds.cancel()
+		defer bounds.Cancel()
 		j.spent = j.spent || repeat && isNotSent(err)
 		return j.failed(ctx, u, took, err)
 	}
-	return j.answered(ctx, u, took, got, bounds.cancel)
+	return j.answered(ctx, u, took, got, bounds.Cancel)
 }
 
 // giveBack takes back a repeat that was counted and not sent.
@@ -123,7 +124,7 @@
 	j.cause = err.Error()
 	if isNotSent(err) {
 		v := verdictNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errStopping) {
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, retry.ErrStopping) {
 			v = verdictAbandoned
 		}
 		j.sends--
@@ -141,7 +142,7 @@
 	case ctx.Err() == context.Canceled:
 		j.end(u, verdictAbandoned, took, nil)
 		return j.outOfTime(ctx), false
-	case errors.Is(err, errStopping):
+	case errors.Is(err, retry.ErrStopping):
 		j.end(u, verdictAbandoned, took, nil)
 		return j.refuse(ReasonStopping, stoppingPause), false
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errGaveWay):
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -13,9 +13,6 @@
 // stoppingPause is the pause that a caller is told to make whom a stopping host turns away; other hosts serve at once.
 const stoppingPause = 10 * time.Millisecond
 
-// errStopping ends the wait for a slot, or for an upstream's answer, where the host stops.
-var errStopping = errors.New("the host stops")
-
 // stop is a stop under way: its beginning, and its bounds by the broker's clock.
 type stop struct {
 	began       time.Duration
@@ -63,37 +60,3 @@
 	s := j.broker.stopping.Load()
 	return s != nil && j.arrived > s.noticeEnds && j.expires > s.servingEnds
 }
-
-// untilStop returns a context that also ends once waiting is over.
-func (b *Broker) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(b.mayWait, func() { cancel(errStopping) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
-// tryBounds are what ends a try before its request's time is over: the stop of the host, or that it gives way to another try. They
-// hold until the answer begins: one that is being passed on may take as long as the request has time.
-type tryBounds struct {
-	end  context.CancelCauseFunc
-	stop func() bool
-}
-
-// bounded returns the context of a try.
-func (b *Broker) bounded(ctx context.Context) (context.Context, *tryBounds) {
-	t := &tryBounds{}
-	ctx, t.end = context.WithCancelCause(ctx)
-	t.stop = context.AfterFunc(b.mayWork, func() { t.end(errStopping) })
-	return ctx, t
-}
-
-// lift takes the bounds away, and reports whether the stop has not ended the try.
-func (t *tryBounds) lift() bool { return t.stop() }
-
-// cancel ends the try.
-func (t *tryBounds) cancel() {
-	t.lift()
-	t.end(nil)
-}
--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -110,8 +110,8 @@
 // that were sent long after it. It returns an error where answers are still due when the context ends.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "shut down callers' server") }()
-	s.Retire()
 	s.closeListener()
+	s.Retire()
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
 	for s.Count() > 0 {
