relay: a long answer that is asked for again gives its slot back

Cause: an idempotent request that got 503 is sent again within the budget; where the 503's body was longer than 256 KiB, the first answer was dropped without being closed.

What callers saw: one slot of the upstream fewer for each such answer, for as long as the entry host ran, and the upstream's connection open until the try's deadline. With all slots gone every request to its keys waited and was shed.

Change: the reply that nobody gets is closed before the next try.

Measured: TestDiscardedAnswersGiveTheirSlotsBack/unavailable failed before (`the slot is not given back`); answers that were not run and answers to another attempt passed. Three runs under the race detector pass. Mutant discardedReply.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -99,6 +99,8 @@
 	} else {
 		cancel()
 	}' '	cancel()' $relay TestEndlessAnswerToAnIDIsPassedOn
+mutant discardedReply $relay/handler.go '		p.discard()
+' '' $relay TestDiscardedAnswersGiveTheirSlotsBack
 mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -115,6 +115,13 @@
 	duplicate bool
 }
 
+// discard ends a reply that nobody gets.
+func (p *reply) discard() {
+	if p.rest != nil {
+		p.rest.close()
+	}
+}
+
 func notRun(reason Reason) *reply  { return &reply{outcome: NotRun, reason: reason} }
 func unknown(reason Reason) *reply { return &reply{outcome: Unknown, reason: reason} }
 
--- a/internal/entry/relay/endless_test.go
+++ b/internal/entry/relay/endless_test.go
@@ -112,6 +112,11 @@
 	f.c.Check(g.outcome, qt.Equals, Done)
 	_, err = io.Copy(io.Discard, response.Body)
 	f.c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	f.checkSlotsFree()
+}
+
+func (f *fixture) checkSlotsFree() {
+	f.c.Helper()
 	for range 100 {
 		if busy, _ := f.handler.Load(); busy == 0 {
 			return
@@ -120,3 +125,32 @@
 	}
 	f.c.Error("the slot is not given back")
 }
+
+// TestDiscardedAnswersGiveTheirSlotsBack holds that answers whose bodies nobody wants end with their connections: those of upstreams
+// that did not run the request, and those that are asked for again.
+func TestDiscardedAnswersGiveTheirSlotsBack(t *testing.T) {
+	const endlessBody = "Content-Length: 1099511627776\r\n\r\n"
+	unavailable := strings.Replace(attemptLine, "200 OK", "503 Full", 1)
+	cases := []struct{ name, text string }{
+		{"not run", unavailable + HeaderOutcome + ": " + string(NotRun) + "\r\n" + HeaderReason + ": " + string(ReasonDraining) + "\r\n" + endlessBody},
+		{"unavailable", unavailable + endlessBody},
+		{"of another attempt", "HTTP/1.1 200 OK\r\n" + HeaderAttemptID + ": other\r\n" + endlessBody},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			var written, calls atomic.Int64
+			bad := endless(v.text, "x", &written)
+			f, u := withUpstream(t, func(conn net.Conn, r *http.Request) {
+				if calls.Add(1) == 1 {
+					bad(conn, r)
+					return
+				}
+				answer(conn, r, "mine")
+			})
+			g := f.do("GET", "/frames/k")
+			f.c.Check(g.body, qt.Equals, "mine")
+			f.c.Check(u.runs.Load(), qt.Equals, int64(2))
+			f.checkSlotsFree()
+		})
+	}
+}
--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -131,6 +131,7 @@
 		if !budget.Spend() {
 			return p
 		}
+		p.discard()
 		sleep(ctx, retry.Pause(try, retry.Random))
 	}
 }
