relay: a try without an answer says why

Cause: the error of a try at an upstream, or at the home of an owner, was dropped once it had been sorted into an outcome.

What operators saw: a 502 with reason broken, and no line that tells a reset from a head without end.

Change: 3206 is written for such a try, as on the other path, with upstream or home, outcome, reason and cause.

Measured: TestTryWithoutAnswerSaysWhy finds no line before; the cause now.

--- a/internal/entry/relay/endless_test.go
+++ b/internal/entry/relay/endless_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/bound"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // endless returns a script that writes a text, in which @ stands for the attempt's id, and then a pattern until its connection
@@ -63,6 +66,45 @@
 	}
 }
 
+// TestTryWithoutAnswerSaysWhy holds that the log names the cause where an upstream or a home gave no answer.
+func TestTryWithoutAnswerSaysWhy(t *testing.T) {
+	var written atomic.Int64
+	head := endless(attemptLine+"X: ", "x", &written)
+	t.Run("upstream", func(t *testing.T) {
+		f, _ := withUpstream(t, head)
+		read := f.logged()
+		f.do("POST", "/frames/k")
+		f.c.Check(read(), qt.Matches, `(?s).*"event":3206.*`)
+		f.c.Check(read(), qt.Matches, `(?s).*"upstream":"u1".*"cause":"[^"]*response headers exceeded 16384 bytes.*`)
+	})
+	t.Run("home", func(t *testing.T) {
+		home := mustScripted(qt.New(t), head)
+		far, _, _ := mustPair(t, hangUp, func(*qt.C, string) string { return home.address() })
+		read := far.logged()
+		far.do("POST", "/frames/k")
+		far.c.Check(read(), qt.Matches, `(?s).*"upstream":"home".*"cause":"[^"]*response headers exceeded 18432 bytes.*`)
+	})
+}
+
+// logged makes the fixture's handler write its log to a file and returns what reads it.
+func (f *fixture) logged() (read func() string) {
+	file := filepath.Join(f.c.TempDir(), "log")
+	out, err := os.Create(file)
+	f.c.Assert(err, qt.IsNil)
+	stdout := os.Stdout
+	os.Stdout = out
+	log, err := events.New("info", "", "e")
+	os.Stdout = stdout
+	f.c.Assert(err, qt.IsNil)
+	f.handler.options.Log = log
+	return func() string {
+		log.Sync()
+		text, err := os.ReadFile(file)
+		f.c.Assert(err, qt.IsNil)
+		return string(text)
+	}
+}
+
 // TestHeadUpToItsLimitIsTaken holds the limit of an answer's head, by way of a home as well.
 func TestHeadUpToItsLimitIsTaken(t *testing.T) {
 	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
--- a/internal/entry/relay/here.go
+++ b/internal/entry/relay/here.go
@@ -153,7 +153,9 @@
 	if err != nil {
 		defer cancel()
 		h.options.Observer.Seen(target.Upstream().Number, true)
-		return h.failed(ctx, u, sent)
+		p := h.failed(ctx, u, sent)
+		h.logTry(c, u.info.Name, u.info.Address, p, err)
+		return p
 	}
 	p := h.read(response, target, attempt, cancel)
 	h.options.Observer.Seen(target.Upstream().Number, p.outcome == Unknown || p.status >= http.StatusInternalServerError && p.outcome == Done)
--- a/internal/entry/relay/hop.go
+++ b/internal/entry/relay/hop.go
@@ -30,7 +30,9 @@
 	response, err := h.hops.of(c.handling.Idempotent).RoundTrip(request)
 	if err != nil {
 		defer cancel()
-		return h.hopFailed(ctx, sent)
+		p := h.hopFailed(ctx, sent)
+		h.logTry(c, target.Home().Name, target.Home().Address, p, err)
+		return p
 	}
 	return h.readHop(response, cancel)
 }
