wire: an answer of a daemon is bounded, head and body

Cause: the transport for calls had no limit of its own for heads (10 MB in net/http). Connect bounds a message by 64 MB, but reads a longer body on to its end to tell its size, and the body of a failure likewise.

What callers saw: a daemon, or what stands at its address, that answers without end kept a call reading until its time was over.

Change: heads of calls are limited to 32 KiB; below Connect a body that is longer than a message may be ends with a typed error. Follow and watch, calls between control hosts and the operator's commands all go this way.

Mutants peerHead, peerBody.

Not changed: a message may still be 64 MB, more than an entry host has room to decode.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -114,6 +114,8 @@
 		return Shed, nil' internal/entry/admit TestHopelessRequestIsShedAtOnce
 mutant wireVersion internal/shared/wire/wire.go 'v != Version' 'false' internal/shared/wire TestOtherVersions
 mutant silentCalls internal/shared/wire/wire.go 'c.http.CloseIdleConnections()' '_ = c' internal/shared/wire TestSilentConnectionCostsOneCall
+mutant peerHead internal/shared/wire/transport.go 'MaxResponseHeaderBytes: maxHeadBytes' 'MaxResponseHeaderBytes: 0' internal/shared/wire TestEndlessAnswerOfAPeerIsBounded
+mutant peerBody internal/shared/wire/transport.go 'b.left < 0' 'b.left < -1<<40' internal/shared/wire TestEndlessAnswerOfAPeerIsBounded
 deal=internal/entry/deal
 broker=internal/entry/broker
 conns=internal/entry/conns
--- a/internal/shared/wire/transport.go
+++ b/internal/shared/wire/transport.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +51,8 @@
 		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idle,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	if security != nil {
 		t.TLSClientConfig = security.clientConfig()
@@ -56,6 +60,47 @@
 	return t
 }
 
+// boundedTransport ends bodies of answers that are longer than a message may be; Connect would read on to their end.
+type boundedTransport struct {
+	*http.Transport
+	most int64
+}
+
+// RoundTrip performs a call.
+func (t boundedTransport) RoundTrip(r *http.Request) (response *http.Response, err error) {
+	if response, err = t.Transport.RoundTrip(r); err != nil {
+		return nil, err
+	}
+	response.Body = &boundedBody{ReadCloser: response.Body, left: t.most, most: t.most}
+	return response, nil
+}
+
+// boundedBody fails once it was longer than allowed.
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+	most int64
+}
+
+// Read reads on while the body is no longer than allowed.
+func (b *boundedBody) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return n, &ErrTooLong{Limit: b.most}
+	}
+	return n, err
+}
+
+// ErrTooLong is returned when a peer's answer is longer than a message may be.
+type ErrTooLong struct {
+	Limit int64
+}
+
+// Error returns the message.
+func (e *ErrTooLong) Error() string {
+	return "the answer is longer than " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
 // countedConn counts the bytes written, which proves that a request was not sent when none were.
 type countedConn struct {
 	net.Conn
--- a/internal/shared/wire/wire.go
+++ b/internal/shared/wire/wire.go
@@ -26,6 +26,7 @@
 // Limits of calls between processes.
 const (
 	maxMessageBytes  = 64 << 20
+	maxHeadBytes     = 32 << 10 // bytes; headers of calls are few and short
 	maxArrayElements = 1 << 24
 	maxMapPairs      = 1 << 20
 	idleTimeout      = 30 * time.Second
@@ -81,7 +82,7 @@
 // NewClient returns a client; a nil Security means plain text.
 func NewClient(security *Security) *Client {
 	c := &Client{scheme: "http", traffic: &Traffic{}}
-	c.http = &http.Client{Transport: newTransport(security, idleTimeout, idlePerHost, c.traffic)}
+	c.http = &http.Client{Transport: boundedTransport{newTransport(security, idleTimeout, idlePerHost, c.traffic), maxMessageBytes}}
 	if security != nil {
 		c.scheme = "https"
 	}
