relay: the test of late and doubled answers does not depend on the budget for retries

Cause, traced with a line for each try (temporary): under load a doubled answer comes after its connection was taken for the next request. That request meets an answer to another attempt and is asked again, as it must be. The service's budget starts with two retries and earns a tenth for each request; the third such meeting within the first requests finds it spent, and the caller gets `the request was not answered by its upstream`: 502, unknown, as promised.

What callers saw: nothing wrong; the product kept its promise. The test's fault.

Change: the test's service has a retry for each request, so that every request must get its own answer, as before. That retries are bounded is held by TestRetriesStayInBudget.

--- a/internal/entry/relay/fixture_test.go
+++ b/internal/entry/relay/fixture_test.go
@@ -85,6 +85,14 @@
 		DataCentre: "dc", ChecksFence: true, Slots: 3, Connections: 20}
 }
 
+// configure adds settings to the service by a newer version of its file and the table.
+func (f *fixture) configure(settings string) {
+	f.c.Helper()
+	text := strings.Replace(serviceText, "[service]\n", "[service]\n"+settings, 1)
+	f.delta.Config = &table.Config{Version: f.delta.Config.Version + 1, Files: []conf.File{{Name: "f", Text: text}}}
+	f.own(1, 7, f.delta.To+1)
+}
+
 // script is what a scripted upstream does with one connection.
 type script func(conn net.Conn, request *http.Request)
 
