daemon: a request's body has a time on all ports

Cause: on the ports of peers, admin, upstreams and operators only the head of a request had a time; the body had a size and no time.

What callers saw: nothing. A peer that drips a body, or stops in the middle and stays connected, held a handler, its connection and up to the size of a body for as long as it liked; each such connection one more.

The bound ends with the body, so that held-back answers may take as long as before.

Measured: TestDrippedBodyIsGivenUp fails without the bound (`the handler waits for the body` after 1,000 bytes at 10 ms, with a length and in chunks); with it the handler ends with `i/o timeout`. TestTimeOfABodyBoundsNoAnswer holds that a handler may take four times as long as a body, and that its connection is used again. Mutant timeOfBodies.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -116,6 +116,7 @@
 mutant silentCalls internal/shared/wire/wire.go 'c.http.CloseIdleConnections()' '_ = c' internal/shared/wire TestSilentConnectionCostsOneCall
 mutant peerHead internal/shared/wire/transport.go 'MaxResponseHeaderBytes: maxHeadBytes' 'MaxResponseHeaderBytes: 0' internal/shared/wire TestEndlessAnswerOfAPeerIsBounded
 mutant peerBody internal/shared/wire/transport.go 'b.left < 0' 'b.left < -1<<40' internal/shared/wire TestEndlessAnswerOfAPeerIsBounded
+mutant timeOfBodies internal/ops/daemon/bodies.go 'control.SetReadDeadline(time.Now().Add(timeout))' 'control.SetReadDeadline(time.Time{})' internal/ops/daemon TestDrippedBodyIsGivenUp
 deal=internal/entry/deal
 broker=internal/entry/broker
 conns=internal/entry/conns
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -137,7 +137,7 @@
 func (d *Daemon) servers() {
 	maxHeader := headerSlack * d.settings.MaxHeaderBytes()
 	server := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader, ErrorLog: d.serverLog()}
+		return &http.Server{Handler: timedBodies(h, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader, ErrorLog: d.serverLog()}
 	}
 	d.peers, d.admin = server(d.peerHandler()), server(d.adminHandler())
 	if d.settings.Entry() && d.broker == nil {
