serve: memory for a caller's body follows what has come of it

Cause: the whole length that a request announced was allocated before the first byte of its body came.

What callers saw: nothing by itself. A few callers that announce the largest body (64 MB by default) and send nothing made the heap of an entry host as large as all of them together, for the 30 s that a body may take.

Change: a body starts with 32 KiB and grows up to its announced length as it comes, never past it. A large sound body is copied on its way: up to half its size more while it comes.

TestBodyOfKnownLength holds that bodies come whole and take no more than their length. Mutant announcedBody.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -137,6 +137,7 @@
 				fresh' $conns TestBytesBehindAnAnswerEndItsConnection
 mutant wholeTimeOfStream $broker/run.go 'return tryCtx, cancel, timer.Stop' 'return tryCtx, cancel, func() bool { return true }' $broker TestLongAnswerHasTheWholeTime
 mutant brokenStreams $broker/stream.go 's.ended(ctx, written)' 's.ended(ctx, true)' $broker 'TestEndlessBodyCountsAsAFailure|TestBrokenStreams'
+mutant announcedBody $serve/conn.go 'firstBody = 32 << 10' 'firstBody = 32 << 30' $serve TestAnnouncedBodyTakesNoMemory
 mutant stopOfBusyConnections $serve/conn.go 'if c.closed || stopping && due > 0 {' 'if c.closed || stopping && due > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -303,20 +303,45 @@
 	}
 	c.limited.Allow(limits.BodyBytes + headerSlack + readBuffer)
 	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var buffer bytes.Buffer
-	if r.ContentLength > 0 {
-		buffer.Grow(int(r.ContentLength))
-	}
-	n, err := io.Copy(&buffer, io.LimitReader(r.Body, limits.BodyBytes+1))
+	body, err := bodyOf(r, limits.BodyBytes)
 	switch {
-	case n > limits.BodyBytes:
+	case int64(len(body)) > limits.BodyBytes:
 		return nil, c.refuse(http.StatusRequestEntityTooLarge, "the body is too large")
 	case err != nil && (isGone(err) || isTimeout(err)):
 		return nil, &unread{}
 	case err != nil:
 		return nil, c.refuse(http.StatusBadRequest, "the body cannot be read")
 	}
-	return buffer.Bytes(), nil
+	return body, nil
+}
+
+// bodyOf returns the body of a request, or what came of it, and of one in chunks no more than a byte over the limit.
+func bodyOf(r *http.Request, limit int64) (body []byte, err error) {
+	if r.ContentLength >= 0 {
+		return readKnown(r.Body, r.ContentLength)
+	}
+	var buffer bytes.Buffer
+	_, err = io.Copy(&buffer, io.LimitReader(r.Body, limit+1))
+	return buffer.Bytes(), err
+}
+
+// firstBody is how much memory a body gets before any of it has come, in bytes.
+const firstBody = 32 << 10
+
+// readKnown reads a body whose length was announced; the memory for it follows what has come.
+func readKnown(from io.Reader, length int64) (body []byte, err error) {
+	body = make([]byte, min(length, firstBody))
+	n := 0
+	for {
+		m, err := io.ReadFull(from, body[n:])
+		n += m
+		if err != nil || int64(n) == length {
+			return body[:n], err
+		}
+		grown := make([]byte, min(2*int64(n), length))
+		copy(grown, body)
+		body = grown
+	}
 }
 
 // headerBytes returns about what a request's line and header take on the wire.
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -23,11 +24,13 @@
 }
 
 func newFixture(t *testing.T, h Handler) *fixture {
+	return newLimited(t, h, Limits{HeaderBytes: 2000, BodyBytes: 5000, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
+}
+
+func newLimited(t *testing.T, h Handler, limits Limits) *fixture {
 	f := &fixture{c: qt.New(t)}
 	start := time.Now()
-	f.server = New(Options{Handler: h, Clock: func() time.Duration { return time.Since(start) }, Limits: func() Limits {
-		return Limits{HeaderBytes: 2000, BodyBytes: 5000, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
-	}})
+	f.server = New(Options{Handler: h, Clock: func() time.Duration { return time.Since(start) }, Limits: func() Limits { return limits }})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.c.Assert(err, qt.IsNil)
 	f.address = l.Addr().String()
@@ -259,3 +262,38 @@
 type broken struct{}
 
 func (*broken) Read([]byte) (int, error) { return 0, fmt.Errorf("broken off") }
+
+// TestAnnouncedBodyTakesNoMemory holds that a caller who announces a body and sends none of it costs little memory.
+func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
+	const (
+		callers   = 20
+		announced = 64 << 20      // bytes
+		most      = 256 * callers // KiB
+	)
+	f := newLimited(t, echo, Limits{HeaderBytes: 2000, BodyBytes: announced, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range callers {
+		c := f.dial()
+		c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", announced))
+		status, _, _ := c.answer()
+		f.c.Assert(status, qt.Equals, http.StatusContinue)
+		c.send("x")
+	}
+	time.Sleep(100 * time.Millisecond)
+	runtime.ReadMemStats(&after)
+	taken := (after.TotalAlloc - before.TotalAlloc) >> 10
+	f.c.Check(taken < most, qt.IsTrue, qt.Commentf("%d KiB allocated", taken))
+}
+
+func TestBodyOfKnownLength(t *testing.T) {
+	for _, length := range []int{1, firstBody - 1, firstBody, firstBody + 1, 5*firstBody + 7} {
+		text := strings.Repeat("abcdefg", length/7+1)[:length]
+		body, err := readKnown(strings.NewReader(text+"behind"), int64(length))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(body) == text, qt.IsTrue)
+		qt.Check(t, cap(body), qt.Equals, length)
+		_, err = readKnown(strings.NewReader(text[:length-1]), int64(length))
+		qt.Check(t, err, qt.Not(qt.IsNil))
+	}
+}
