sample/owner: answers to announcements and requests' bodies are bounded

Cause: the sample upstream, which others copy, read answers and bodies without a limit.

What callers saw: nothing; an entry host, or what stands at its address, could fill the sample's memory within an announcement's 600 ms, again and again.

Change: 16 KiB for the head of an answer, 16 MiB for its body, 64 MiB for a request's body, 5 s for a request's head.

Measured: TestEndlessAnswerToAnAnnouncementIsBounded before: 10,818,720 bytes for header lines, 67,108,864 for a body, where the stand-in stops.

--- a/internal/sample/owner/owner.go
+++ b/internal/sample/owner/owner.go
@@ -20,11 +20,15 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
-// Times of a sample upstream.
+// Times and bounds of a sample upstream.
 const (
 	announceTimeout = 600 * time.Millisecond
 	retryPause      = 30 * time.Millisecond
 	leaveBound      = 10 * time.Second
+	headerTimeout   = 5 * time.Second
+	maxAnswerHead   = 16 << 10 // bytes of the head of an answer to an announcement
+	maxAnswerBytes  = 16 << 20 // bytes of its body; the grants of 100,000 slices are less
+	maxBodyBytes    = 64 << 20 // bytes of a request's body
 )
 
 // Options describe a sample upstream.
@@ -58,7 +62,7 @@
 // New returns a sample upstream.
 func New(o Options) (u *Owner, err error) {
 	u = &Owner{options: o, grants: NewGrants(), incarnation: uint64(time.Now().UnixNano()), slots: make(chan struct{}, o.Slots)}
-	u.client = &http.Client{Timeout: announceTimeout}
+	u.client = &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxAnswerHead}}
 	if o.Journal != "" {
 		u.journal, err = os.OpenFile(o.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	}
@@ -71,7 +75,7 @@
 	if err != nil {
 		return errors.WithMessage(err, "sample upstream")
 	}
-	server := &http.Server{Handler: u}
+	server := &http.Server{Handler: u, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
 	stop := make(chan struct{})
 	finished := make(chan struct{})
@@ -129,7 +133,7 @@
 	if response.StatusCode != http.StatusOK {
 		return answer, errors.Errorf("announce: status %d", response.StatusCode)
 	}
-	if err = json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&answer); err != nil {
 		return answer, err
 	}
 	return answer, answer.Check(a)
@@ -153,7 +157,7 @@
 	hash, _ := strconv.ParseUint(r.Header.Get(relay.HeaderKeyHash), 10, 64)
 	fence, _ := strconv.ParseUint(r.Header.Get(relay.HeaderFence), 10, 64)
 	deadline, _ := strconv.ParseInt(r.Header.Get(relay.HeaderDeadline), 10, 64)
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil || time.Now().UnixMilli() >= deadline {
 		refuse(w, relay.ReasonShed)
 		return
--- a/internal/sample/owner/owner_test.go
+++ b/internal/sample/owner/owner_test.go
@@ -1,9 +1,12 @@
 package owner
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,3 +63,42 @@
 	end()
 	c.Assert(g.Held(), qt.Equals, uint64(7))
 }
+
+// TestEndlessAnswerToAnAnnouncementIsBounded holds how much an upstream takes of an entry host's answer that never ends.
+func TestEndlessAnswerToAnAnnouncementIsBounded(t *testing.T) {
+	const system = 1 << 20 // more than what the system takes in for a connection from which nobody reads any more, in bytes
+	cases := []struct {
+		name, text, pattern string
+		most                int64
+	}{
+		{"header lines", "HTTP/1.1 200 OK\r\n", "a: b\r\n", maxAnswerHead},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n{\"name\":\"", strings.Repeat("x", 4<<10), maxAnswerBytes},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			c := qt.New(t)
+			written := make(chan int64, 1)
+			entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				c.Check(err, qt.IsNil)
+				defer func() { _ = conn.Close() }()
+				_ = conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+				_, err = io.WriteString(conn, v.text)
+				n, total := 0, int64(0)
+				for err == nil && total < 4*maxAnswerBytes {
+					n, err = io.WriteString(conn, strings.Repeat(v.pattern, 4<<10/len(v.pattern)+1))
+					total += int64(n)
+				}
+				written <- total
+			}))
+			c.Cleanup(entry.Close)
+			u, err := New(Options{Name: "u", Slots: 1, Entries: []string{strings.TrimPrefix(entry.URL, "http://")}})
+			c.Assert(err, qt.IsNil)
+			u.client.Timeout = time.Minute
+			_, err = u.send()
+			c.Assert(err, qt.Not(qt.IsNil))
+			got := <-written
+			c.Check(got < v.most+system, qt.IsTrue, qt.Commentf("%d bytes", got))
+		})
+	}
+}
