--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -123,6 +123,8 @@
 mutant homeHead $relay/upstream.go '		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
 ' '' $relay TestEndlessHeadIsBounded
 mutant longAnswerToAnID $relay/here.go 'p.rest.onClose = append(p.rest.onClose, bounds.Cancel, cancel)' 'cancel()' $relay TestEndlessAnswerToAnIDIsPassedOn
+mutant discardedReply $relay/handler.go '		p.discard()
+' '' $relay TestDiscardedAnswersGiveTheirSlotsBack
 mutant provenConnections $relay/upstream.go 'return p.proven' 'return p.usual' $relay 'TestSilentConnections/closure_after'
 mutant callerPatience $relay/handler.go '_ = control.SetReadDeadline(time.Now().Add(h.patience))' '' $relay TestSilentCallerIsGivenUp
 mutant retryBudget internal/entry/retry/retry.go 'if b.saved < 1 {' 'if false {' $relay TestRetriesStayInBudget
@@ -142,6 +144,11 @@
 mutant relayLongAnswerInHop $relay/hop.go 'p.rest != nil && !bounds.Lift()' 'false' $relay TestLongAnswerOutlastsTheFirstTry
 mutant patienceForEachPart $relay/handler.go 'p.control.SetWriteDeadline(time.Now().Add(p.patience))' 'error(nil)' $relay TestCallerThatTakesALongAnswerIsNotGivenUp
 mutant silentCalls internal/shared/wire/wire.go 'c.http.CloseIdleConnections()' '_ = c' internal/shared/wire TestSilentConnectionCostsOneCall
+mutant peerHead internal/shared/wire/transport.go 'MaxResponseHeaderBytes: maxHeadBytes' 'MaxResponseHeaderBytes: 0' internal/shared/wire TestEndlessAnswerOfAPeerIsBounded
+mutant peerBody internal/shared/wire/transport.go 'b.left < 0' 'b.left < -1<<40' internal/shared/wire TestEndlessAnswerOfAPeerIsBounded
+mutant timeOfBodies internal/ops/daemon/bodies.go 'control.SetReadDeadline(time.Now().Add(timeout))' 'control.SetReadDeadline(time.Time{})' internal/ops/daemon TestDrippedBodyIsGivenUp
+mutant sampleAnswer internal/sample/owner/owner.go 'io.LimitReader(response.Body, maxAnswerBytes)' 'response.Body' internal/sample/owner TestEndlessAnswerToAnAnnouncementIsBounded
+mutant sampleHead internal/sample/owner/owner.go 'MaxResponseHeaderBytes: maxAnswerHead' 'MaxResponseHeaderBytes: 0' internal/sample/owner TestEndlessAnswerToAnAnnouncementIsBounded
 deal=internal/entry/deal
 broker=internal/entry/broker
 conns=internal/entry/conns
@@ -181,5 +188,6 @@
 mutant plainForOldCallers $serve/types.go 'a.untilClose = !r.ProtoAtLeast(1, 1) &&' 'a.untilClose = false &&' $serve TestOldCallersReadLongAnswers/whole
 mutant resetForOldCallers $serve/write.go '_ = tcp.SetLinger(0)' '_ = tcp' $serve TestOldCallersReadLongAnswers/broken
 mutant slowBodyIsRefused $serve/read.go 'return nil, c.late("the body did not come in time")' 'return nil, &unread{gone: err}' $serve TestSlowBodyCostsNoOtherAnswer
+mutant announcedBody $serve/read.go 'firstBody = 32 << 10' 'firstBody = 32 << 30' $serve TestAnnouncedBodyTakesNoMemory
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/relay/endless_test.go
+++ b/internal/entry/relay/endless_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/bound"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
 )
 
 // endless returns a script that writes a text, in which @ stands for the attempt's id, and then a pattern until its connection
@@ -63,6 +66,45 @@
 	}
 }
 
+// TestTryWithoutAnswerSaysWhy holds that the log names the cause where an upstream or a home gave no answer.
+func TestTryWithoutAnswerSaysWhy(t *testing.T) {
+	var written atomic.Int64
+	head := endless(attemptLine+"X: ", "x", &written)
+	t.Run("upstream", func(t *testing.T) {
+		f, _ := withUpstream(t, head)
+		read := f.logged()
+		f.do("POST", "/frames/k")
+		f.c.Check(read(), qt.Matches, `(?s).*"event":3206.*`)
+		f.c.Check(read(), qt.Matches, `(?s).*"upstream":"u1".*"cause":"[^"]*response headers exceeded 16384 bytes.*`)
+	})
+	t.Run("home", func(t *testing.T) {
+		home := mustScripted(qt.New(t), head)
+		far, _, _ := mustPair(t, hangUp, func(*qt.C, string) string { return home.address() })
+		read := far.logged()
+		far.do("POST", "/frames/k")
+		far.c.Check(read(), qt.Matches, `(?s).*"upstream":"home".*"cause":"[^"]*response headers exceeded 18432 bytes.*`)
+	})
+}
+
+// logged makes the fixture's handler write its log to a file and returns what reads it.
+func (f *fixture) logged() (read func() string) {
+	file := filepath.Join(f.c.TempDir(), "log")
+	out, err := os.Create(file)
+	f.c.Assert(err, qt.IsNil)
+	stdout := os.Stdout
+	os.Stdout = out
+	log, err := events.New("info", "", "e")
+	os.Stdout = stdout
+	f.c.Assert(err, qt.IsNil)
+	f.handler.options.Log = log
+	return func() string {
+		log.Sync()
+		text, err := os.ReadFile(file)
+		f.c.Assert(err, qt.IsNil)
+		return string(text)
+	}
+}
+
 // TestHeadUpToItsLimitIsTaken holds the limit of an answer's head, by way of a home as well.
 func TestHeadUpToItsLimitIsTaken(t *testing.T) {
 	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
@@ -112,6 +154,11 @@
 	f.c.Check(g.outcome, qt.Equals, Done)
 	_, err = io.Copy(io.Discard, response.Body)
 	f.c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	f.checkSlotsFree()
+}
+
+func (f *fixture) checkSlotsFree() {
+	f.c.Helper()
 	for range 100 {
 		if busy, _ := f.handler.Load(); busy == 0 {
 			return
@@ -120,3 +167,32 @@
 	}
 	f.c.Error("the slot is not given back")
 }
+
+// TestDiscardedAnswersGiveTheirSlotsBack holds that answers whose bodies nobody wants end with their connections: those of upstreams
+// that did not run the request, and those that are asked for again.
+func TestDiscardedAnswersGiveTheirSlotsBack(t *testing.T) {
+	const endlessBody = "Content-Length: 1099511627776\r\n\r\n"
+	unavailable := strings.Replace(attemptLine, "200 OK", "503 Full", 1)
+	cases := []struct{ name, text string }{
+		{"not run", unavailable + HeaderOutcome + ": " + string(NotRun) + "\r\n" + HeaderReason + ": " + string(ReasonDraining) + "\r\n" + endlessBody},
+		{"unavailable", unavailable + endlessBody},
+		{"of another attempt", "HTTP/1.1 200 OK\r\n" + HeaderAttemptID + ": other\r\n" + endlessBody},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			var written, calls atomic.Int64
+			bad := endless(v.text, "x", &written)
+			f, u := withUpstream(t, func(conn net.Conn, r *http.Request) {
+				if calls.Add(1) == 1 {
+					bad(conn, r)
+					return
+				}
+				answer(conn, r, "mine")
+			})
+			g := f.do("GET", "/frames/k")
+			f.c.Check(g.body, qt.Equals, "mine")
+			f.c.Check(u.runs.Load(), qt.Equals, int64(2))
+			f.checkSlotsFree()
+		})
+	}
+}
--- a/internal/entry/serve/dropped_test.go
+++ b/internal/entry/serve/dropped_test.go
@@ -46,7 +46,7 @@
 	c := qt.New(t)
 	for range rounds {
 		taken := &sync.Map{}
-		f := newFixtureBehind(t, echo, func(l net.Listener) net.Listener { return countedListener{Listener: l, taken: taken} })
+		f := newFixtureBehind(t, echo, Limits{HeaderBytes: 2000, BodyBytes: 5000, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}, func(l net.Listener) net.Listener { return countedListener{Listener: l, taken: taken} })
 		begin := make(chan struct{})
 		var all sync.WaitGroup
 		var dropped atomic.Int64
