broker: a caller that leaves is counted once

Cause: the try had settled the request and returned no answer, which also means that there is none yet; run gave up, which settled it again. TestCallerThatLeavesIsCountedOnce: 2 records before, 1 after.

--- a/internal/entry/broker/answer.go
+++ b/internal/entry/broker/answer.go
@@ -99,6 +99,7 @@
 // settle notes the final answer.
 func (j *job) settle(status int, o relay.Outcome, reason Reason) {
 	b := j.broker
+	j.settled = true
 	r := Record{ID: j.id, Route: j.match.Name, Service: j.service, Upstream: j.upstream, Attempts: j.attempts, Status: status,
 		Outcome: o, Reason: reason, Took: b.options.Clock() - j.arrived, Waited: j.waited, Version: b.options.Table.View().Version()}
 	if j.match.Route != nil {
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -106,6 +106,7 @@
 	holder   route.Holder
 	cause    string
 	mayRan   bool
+	settled  bool
 	upstream string
 	waited   time.Duration
 	last     *conns.Answer
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -460,3 +460,20 @@
 	f.c.Check(len(a.Body)+len(rest), qt.Equals, part*parts)
 	a.Done(true)
 }
+
+// TestCallerThatLeavesIsCountedOnce holds that a request whose caller leaves while it is at an upstream is settled once.
+func TestCallerThatLeavesIsCountedOnce(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	f := newFixture(t, []http.HandlerFunc{func(_ http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		<-r.Context().Done()
+	}}, nil)
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-begun
+		leave()
+	}()
+	f.c.Check(f.broker.Handle(ctx, f.request("/look/x")), qt.IsNil)
+	f.c.Check(f.records.list, qt.HasLen, 1)
+	f.c.Check(f.records.last().Reason, qt.Equals, ReasonCallerGone)
+}
--- a/internal/entry/broker/run.go
+++ b/internal/entry/broker/run.go
@@ -37,7 +37,7 @@
 			return refusal
 		}
 		answer, again := j.try(ctx, u)
-		if answer != nil {
+		if answer != nil || j.settled {
 			return answer
 		}
 		if !again || !j.mayRepeat() {
