broker: a first try gives way to a dealt slot only, and never once the host stops

Cause: without a dealer's word another upstream was chosen blindly, which may turn the request away; and the stop was looked at before the dealers were asked, which takes up to 160 ms for each silent one, not after. Besides, where the objective sets the part of a first try, another one was looked for until 1.45 times that part, with no time left for it. Change: only a dealer's slot is a place; the stop is looked at again with the slot; looks end at 80% of the time left. TestFirstTryIsNotBrokenOffForNothing (dealer silent, host begins to stop during the look) and TestFirstTryDoesNotGiveWayTooLate fail before.

--- a/internal/entry/broker/beside.go
+++ b/internal/entry/broker/beside.go
@@ -38,7 +38,7 @@
 		a, err := j.broker.pool.Do(ctx, call)
 		result <- exchanged{answer: a, err: err}
 	}()
-	if part := j.firstTry(left); part > 0 && j.lookBeside(answered, u, part) {
+	if part := j.firstTry(left); part > 0 && j.lookBeside(answered, u, part, left) {
 		bounds.End(errGaveWay)
 	}
 	r := <-result
@@ -59,10 +59,10 @@
 	return max(time.Duration(firstTryShare*float64(left)), j.match.Route.Objective)
 }
 
-// lookBeside waits until a try has had its part of the time and then looks for another upstream, again and again while another try
-// has time enough. The context ends with the try, whose answer ends the search.
-func (j *job) lookBeside(ctx context.Context, u table.Upstream, part time.Duration) (found bool) {
-	last := j.broker.options.Clock() + time.Duration(lastLookShare/firstTryShare*float64(part))
+// lookBeside waits until a try has had its part of the time left and then looks for another upstream, again and again while another
+// try has time enough. The context ends with the try, whose answer ends the search.
+func (j *job) lookBeside(ctx context.Context, u table.Upstream, part, left time.Duration) (found bool) {
+	last := j.broker.options.Clock() + time.Duration(lastLookShare*float64(left))
 	for pause := part; j.broker.options.Clock()+pause <= last; pause = lookPause {
 		select {
 		case <-ctx.Done():
@@ -76,31 +76,28 @@
 	return false
 }
 
-// reserveBeside reserves an upstream with a free slot for a request whose try at another one is under way.
+// reserveBeside reserves an upstream with a free slot for a request whose try at another one is under way. Only a dealer's slot is
+// sure; where no dealer answers, or the host begins to stop meanwhile, the try goes on.
 func (j *job) reserveBeside(ctx context.Context, u table.Upstream) bool {
-	if _, stopping := j.broker.sinceStop(); stopping || !j.allowed() {
+	if j.broker.isStopping() || !j.allowed() {
 		return false
 	}
 	j.avoid(u)
 	s, err := j.ask(ctx, 0, true)
-	var refused *deal.ErrRefused
-	if err != nil && ctx.Err() == nil && !errors.As(err, &refused) {
-		var ok bool
-		if s.upstream, ok = j.chooseAlone(); ok {
-			err = nil
-		}
+	if err == nil {
+		j.next = &s
 	}
-	if err != nil {
-		j.giveBack()
-		return false
+	if err == nil && !j.broker.isStopping() {
+		return true
 	}
-	j.next = &s
-	return true
+	j.leaveNext()
+	j.giveBack()
+	return false
 }
 
 // leaveNext gives back the slot of an upstream that was reserved and is not needed.
 func (j *job) leaveNext() {
-	if j.next != nil && j.next.slot != nil {
+	if j.next != nil {
 		j.next.slot.Finish(deal.Result{Fate: deal.Abandoned})
 	}
 	j.next = nil
--- a/internal/entry/broker/beside_test.go
+++ b/internal/entry/broker/beside_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
 // outlasting is how long an upstream takes that answers after the part of a first try and before the request's time of 1 s is over.
@@ -32,6 +34,11 @@
 		{"no other upstream", []http.HandlerFunc{late}, func(*fixture) {}},
 		{"repeats used up", []http.HandlerFunc{late, late}, func(f *fixture) { f.broker.repeats = newBudget(retry.Terms{Window: time.Second}) }},
 		{"no slot free", []http.HandlerFunc{late, late}, func(f *fixture) { f.fill(3) }},
+		{"dealer silent", []http.HandlerFunc{late, turnAway(503)}, func(f *fixture) { time.AfterFunc(outlasting/2, f.silenceDealers) }},
+		{"host begins to stop during the look", []http.HandlerFunc{late, turnAway(503)}, func(f *fixture) {
+			time.AfterFunc(outlasting/2, f.silenceDealers)
+			time.AfterFunc(600*time.Millisecond, func() { f.broker.beginStop(stopTimes) })
+		}},
 		{"host stops", []http.HandlerFunc{late, late}, func(f *fixture) { f.broker.beginStop(stopTimes) }},
 	}
 	for _, v := range cases {
@@ -44,6 +51,23 @@
 	}
 }
 
+// silenceDealers makes another entry host, which says nothing, the dealer of all services.
+func (f *fixture) silenceDealers() {
+	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	f.c.Check(err, qt.IsNil)
+	f.c.Cleanup(func() { _ = l.Close() })
+	f.apply(table.Delta{Entries: []table.EntryHost{{Name: "z", Address: l.LocalAddr().String(), DataCentre: "d"}}})
+}
+
+// TestFirstTryDoesNotGiveWayTooLate holds that a try which may last for most of the request's time by its objective is not given up
+// where another one would not have time enough.
+func TestFirstTryDoesNotGiveWayTooLate(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	f := newFixture(t, []http.HandlerFunc{silent, silent}, nil)
+	f.c.Check(f.ask("/look/x", func(r *http.Request) { r.Header.Set("Left", "620") }).Status, qt.Equals, http.StatusGatewayTimeout)
+	f.c.Check(f.servers[0].count()+f.servers[1].count(), qt.Equals, 1)
+}
+
 // fill takes slots with requests that last for the route's time of 2 s.
 func (f *fixture) fill(slots int) {
 	for range slots {
--- a/internal/entry/broker/place.go
+++ b/internal/entry/broker/place.go
@@ -69,19 +69,14 @@
 	if err == nil {
 		return u, refusal
 	}
-	u, ok := j.chooseAlone()
+	b := j.broker
+	u, ok := b.stock.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
 	if !ok {
 		return u, j.refuse(ReasonNoUpstream, noUpstreamPause)
 	}
 	return u, nil
 }
 
-// chooseAlone returns the upstream that this host takes for the best where no dealer answers.
-func (j *job) chooseAlone() (u table.Upstream, ok bool) {
-	b := j.broker
-	return b.stock.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.tried)
-}
-
 // allowed reports whether the budget for repeats lets the request be sent, and counts it if it was sent before.
 func (j *job) allowed() bool {
 	b := j.broker
@@ -113,7 +108,7 @@
 	return u, nil, err
 }
 
-// seat is a place at an upstream; the slot is nil where this host chose by itself.
+// seat is a slot at an upstream.
 type seat struct {
 	upstream table.Upstream
 	slot     *deal.Slot
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -55,6 +55,8 @@
 	return b.options.Clock() - s.began, true
 }
 
+func (b *Broker) isStopping() bool { return b.stopping.Load() != nil }
+
 // outlastsStop reports whether a request that came after the notice may still be at its upstream when the stop ends that.
 func (j *job) outlastsStop() bool {
 	s := j.broker.stopping.Load()
