broker, conns: a stop does not cut answers that have begun to come

Found in review (trial: 30,000 of 40,000 bytes of an answer were there when the time for upstreams ended; the caller got 502). Short answers are read whole before any of them is passed on, and the bound held until then: an upstream that had done its work could have its answer thrown away at the end of a stop, as it was still on its way. Change: the bounds of a try end with the head of its answer, as they are said to; what does not come whole before the last 6% of the stop's bound ends with an answer of the host's own, as before. TestStopTakesAnswersThatHaveBegun/whole gets 502 before; mutants begunAtStop, longAnswerAtStop.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -164,7 +164,8 @@
 mutant answersAtStop $broker/run.go 'retry.Bound(ctx, 0, b.mayWork)' 'retry.Bound(ctx, 0, context.Background())' $broker TestStopAnswersEveryRequestThatWasRead
 mutant halfReadAtStop $broker/stop.go 'front.Finish()' '_ = front' $broker TestStopAnswersEveryRequestThatWasRead
 mutant lastSixth internal/shared/conf/stop.go 'serveShare = 0.86' 'serveShare = 0.8' internal/shared/conf TestPhasesOfAStopFitItsTime
-mutant longAnswerAtStop $broker/beside.go 'r.answer.Rest != nil && !inTime' 'r.answer.Rest == nil && !inTime' $broker TestStopDoesNotCutLongAnswers
+mutant longAnswerAtStop $broker/beside.go 'if came := comes(); r.err' 'if came := comes != nil; r.err' $broker TestStopDoesNotCutLongAnswers
+mutant begunAtStop $broker/beside.go 'context.AfterFunc(j.broker.mayCome' 'context.AfterFunc(j.broker.mayWork' $broker TestStopTakesAnswersThatHaveBegun
 mutant tooLateForStop $broker/stop.go 'j.arrived > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
 mutant answerHead $conns/exchange.go 'x.conn.limited.Allow(bound.MaxAnswerHead)' 'x.conn.limited.Allow(bound.Unlimited)' $conns 'TestEndlessHeadIsBounded|TestEndlessHeadsAtOnceKeepMemory'
@@ -172,7 +173,7 @@
 mutant quietRests $conns/pool.go ' && c.quiet() {
 				fresh' ' {
 				fresh' $conns TestBytesBehindAnAnswerEndItsConnection
-mutant gaveWayForNothing $broker/beside.go 'part > 0 && j.lookBeside(answered, u, part)' 'part > 0 && (j.lookBeside(answered, u, part) || answered.Err() == nil)' $broker TestFirstTryIsNotBrokenOff
+mutant gaveWayForNothing $broker/beside.go 'part > 0 && j.lookBeside(begun, u, part, left)' 'part > 0 && (j.lookBeside(begun, u, part, left) || begun.Err() == nil)' $broker TestFirstTryIsNotBrokenOff
 mutant brokenStreams $broker/stream.go 's.ended(ctx, written)' 's.ended(ctx, true)' $broker 'TestEndlessBodyCountsAsAFailure|TestBrokenStreams'
 mutant stopOfBusyConnections $serve/phase.go 'if p.sealed || p.stopping && before > 0 {' 'if p.sealed || p.stopping && before > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 mutant lastOfTheDue $serve/phase.go '(p.stopping || p.sealed) && p.due == 1' '(p.stopping || p.sealed) && p.due > 0' $serve TestEveryOrderOfAStopAnswersWhatBegan
--- a/internal/entry/broker/beside.go
+++ b/internal/entry/broker/beside.go
@@ -28,23 +28,31 @@
 }
 
 // send sends the request and returns the answer. A first try that may be repeated gives way once it has had its part of the time
-// and another upstream has a slot; where there is none it goes on, as its upstream may still answer.
+// and another upstream has a slot; where there is none it goes on, as its upstream may still answer. The bounds of a try hold until its
+// answer begins, which has to come whole before a stop is over.
 func (j *job) send(ctx context.Context, bounds *retry.Bounds, u table.Upstream, left time.Duration) (*conns.Answer, error) {
 	call := j.call(u, left)
-	answered, done := context.WithCancel(ctx)
+	begun, noteBegun := context.WithCancel(ctx)
+	comes := func() bool { return false }
+	call.Begun = func() {
+		if bounds.Lift() {
+			comes = context.AfterFunc(j.broker.mayCome, func() { bounds.End(retry.ErrStopping) })
+		}
+		noteBegun()
+	}
 	result := make(chan exchanged, 1)
 	go func() {
-		defer done()
+		defer noteBegun()
 		a, err := j.broker.pool.Do(ctx, call)
 		result <- exchanged{answer: a, err: err}
 	}()
-	if part := j.firstTry(left); part > 0 && j.lookBeside(answered, u, part, left) {
+	if part := j.firstTry(left); part > 0 && j.lookBeside(begun, u, part, left) {
 		bounds.End(errGaveWay)
 	}
 	r := <-result
-	inTime := bounds.Lift() && !errors.Is(context.Cause(ctx), errGaveWay)
-	if r.err == nil && r.answer.Rest != nil && !inTime {
+	if came := comes(); r.err == nil && r.answer.Rest != nil && (!came || ctx.Err() != nil) {
 		r.answer.End(false)
+		bounds.End(retry.ErrStopping)
 		return nil, &conns.ErrUnanswered{Cause: context.Cause(ctx)}
 	}
 	return r.answer, r.err
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -31,15 +31,17 @@
 	splits  map[string]*split
 	// stopping is the stop under way, nil before.
 	stopping atomic.Pointer[stop]
-	// mayWait ends when requests may wait for slots no longer, mayWork when they may stay at upstreams no longer.
-	mayWait, mayWork         context.Context
-	stopWaiting, stopServing context.CancelFunc
+	// mayWait ends when requests may wait for slots no longer, mayWork when they may stay at upstreams no longer, mayCome when
+	// answers that have begun may come no longer.
+	mayWait, mayWork, mayCome            context.Context
+	stopWaiting, stopServing, stopComing context.CancelFunc
 }
 
 // New returns a broker.
 func New(o Options) *Broker {
 	b := &Broker{options: o, pool: conns.NewPool(), stock: newStock(), stale: newStaleOwners(), repeats: newBudget(o.Repeats), splits: map[string]*split{}}
-	b.mayWork, b.stopServing = context.WithCancel(context.Background())
+	b.mayCome, b.stopComing = context.WithCancel(context.Background())
+	b.mayWork, b.stopServing = context.WithCancel(b.mayCome)
 	b.mayWait, b.stopWaiting = context.WithCancel(b.mayWork)
 	b.office = b.newOffice()
 	return b
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -21,8 +21,9 @@
 }
 
 // Stop takes the callers' server through a stop. All requests are served until the notice ends and leave is called; then connections
-// end with the answers that are due. Later no request waits for a slot, and at last none for an upstream: each has an answer of the
-// host's own then, so that the answers behind it are written too. An answer that is being passed on has until the end.
+// end with the answers that are due. Later no request waits for a slot, then none for an upstream, and at last none for the rest of an
+// answer: each has an answer of the host's own then, so that the answers behind it are written too. An answer that is being passed on
+// has until the end.
 func (b *Broker) Stop(ctx context.Context, front *serve.Server, times conf.StopTimes, leave func()) (err error) {
 	defer func() { err = errors.WithMessage(err, "stop serving callers") }()
 	b.beginStop(times)
@@ -33,6 +34,8 @@
 		front.Finish()
 	})
 	defer serving.Stop()
+	coming := time.AfterFunc(times.Coming(), b.stopComing)
+	defer coming.Stop()
 	select {
 	case <-ctx.Done():
 	case <-time.After(times.Notice()):
--- a/internal/entry/broker/stop_test.go
+++ b/internal/entry/broker/stop_test.go
@@ -312,3 +312,44 @@
 	f.c.Check(f.servers[0].count(), qt.Equals, 0)
 	f.c.Check(f.ask("/look/x", left("300")).Status, qt.Equals, http.StatusOK)
 }
+
+// TestStopTakesAnswersThatHaveBegun holds that the end of the time for upstreams does not cut an answer whose start is there, and that
+// one that does not come to its end is given up before the stop is over.
+func TestStopTakesAnswersThatHaveBegun(t *testing.T) {
+	const length, first = 40000, 30000
+	for _, whole := range []bool{true, false} {
+		t.Run(fmt.Sprint("whole ", whole), func(t *testing.T) {
+			begun, goOn := make(chan struct{}), make(chan struct{})
+			f := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", fmt.Sprint(length))
+				answer(w, r, http.StatusOK, strings.Repeat("x", first))
+				_ = http.NewResponseController(w).Flush()
+				close(begun)
+				select {
+				case <-goOn:
+					_, _ = io.WriteString(w, strings.Repeat("x", length-first))
+				case <-r.Context().Done():
+				}
+			}}, nil)
+			go func() {
+				<-begun
+				time.Sleep(50 * time.Millisecond)
+				f.broker.stopServing()
+				time.Sleep(50 * time.Millisecond)
+				if whole {
+					close(goOn)
+				} else {
+					f.broker.stopComing()
+				}
+			}()
+			a := f.ask("/sign/x", func(r *http.Request) { r.Header.Set("Left", "30000") })
+			if whole {
+				f.c.Check(a.Status, qt.Equals, http.StatusOK)
+				f.c.Check(a.Body, qt.HasLen, length)
+				return
+			}
+			f.c.Check(a.Status, qt.Equals, http.StatusBadGateway)
+			f.c.Check(f.records.last().Reason, qt.Equals, ReasonStopping)
+		})
+	}
+}
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -25,7 +25,8 @@
 )
 
 // Call is one request to an upstream. ID is the value of the header IDHeader, which the answer must repeat. Fits is asked once the
-// connection is there, just before the first byte is sent; an error withdraws the request.
+// connection is there, just before the first byte is sent; an error withdraws the request. Begun, if any, hears that the head of the
+// answer has come.
 type Call struct {
 	Key        string
 	Address    string
@@ -38,6 +39,7 @@
 	ID         string
 	Idempotent bool
 	Fits       func() error
+	Begun      func()
 }
 
 // Answer is an upstream's answer. Rest holds what is read while it is passed on, nil where Body is whole; End must be called
@@ -199,6 +201,9 @@
 			}
 			continue
 		}
+		if x.call.Begun != nil {
+			x.call.Begun()
+		}
 		return x.take(r)
 	}
 	return nil, errForeign
--- a/internal/shared/conf/stop.go
+++ b/internal/shared/conf/stop.go
@@ -11,7 +11,8 @@
 // Parts of a stop's bound, which follows its notice.
 const (
 	waitShare  = 0.5  // requests may wait for a slot
-	serveShare = 0.86 // requests may stay at an upstream; what is left is for writing the answers that are due
+	serveShare = 0.86 // requests may stay at an upstream
+	comeShare  = 0.94 // answers that have begun may come; what is left is for writing the answers that are due
 )
 
 // NewStopTimes returns the bounds of a stop that serves on for the notice and ends within the bound after it.
@@ -28,6 +29,9 @@
 // Serving returns until when requests may stay at an upstream.
 func (t StopTimes) Serving() time.Duration { return t.after(serveShare) }
 
+// Coming returns until when answers that have begun may come whole, if they are not passed on while they come.
+func (t StopTimes) Coming() time.Duration { return t.after(comeShare) }
+
 // End returns when the stop is over.
 func (t StopTimes) End() time.Duration { return t.after(1) }
 
