serve: what comes behind a last answer is read for as long as the answer may wait

Found in review (trial: 128,000 of 3,145,729 bytes of a last answer came, then a reset, where the caller sent another request 1.2 s later). Cause: the connection was closed 500 ms behind its last answer, whether the caller had it or not; what the caller sent then was answered by a reset, which drops what is still queued. Change: 2 s, four times as long as packets wait on a link that counts as sound.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -164,7 +164,7 @@
 mutant answersAtStop $broker/run.go 'retry.Bound(ctx, 0, b.mayWork)' 'retry.Bound(ctx, 0, context.Background())' $broker TestStopAnswersEveryRequestThatWasRead
 mutant halfReadAtStop $broker/stop.go 'front.Finish()' '_ = front' $broker TestStopAnswersEveryRequestThatWasRead
 mutant lastSixth internal/shared/conf/stop.go 'serveShare = 0.86' 'serveShare = 0.8' internal/shared/conf TestPhasesOfAStopFitItsTime
-mutant longAnswerAtStop $broker/beside.go 'if came := comes(); r.err' 'if came := comes != nil; r.err' $broker TestStopDoesNotCutLongAnswers
+mutant longAnswerAtStop $broker/beside.go 'if bounds.Lift() {' 'if comes != nil {' $broker TestStopDoesNotCutLongAnswers
 mutant begunAtStop $broker/beside.go 'context.AfterFunc(j.broker.mayCome' 'context.AfterFunc(j.broker.mayWork' $broker TestStopTakesAnswersThatHaveBegun
 mutant tooLateForStop $broker/stop.go 'j.arrived > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -15,12 +15,12 @@
 
 // Bounds of one connection.
 const (
-	maxAhead     = 32                     // requests read ahead of their answers
-	readBuffer   = 2 << 10                // most headers fit; memory counts for each open connection
-	bodyTimeout  = 30 * time.Second       // a caller that sends a body more slowly counts as silent
-	writeTimeout = 15 * time.Second       // a caller that takes an answer more slowly counts as silent
-	headerSlack  = 1 << 10                // what the read buffer may hold of the request behind
-	lingerTime   = 500 * time.Millisecond // what comes behind the last answer is read for so long
+	maxAhead     = 32               // requests read ahead of their answers
+	readBuffer   = 2 << 10          // most headers fit; memory counts for each open connection
+	bodyTimeout  = 30 * time.Second // a caller that sends a body more slowly counts as silent
+	writeTimeout = 15 * time.Second // a caller that takes an answer more slowly counts as silent
+	headerSlack  = 1 << 10          // what the read buffer may hold of the request behind
+	lingerTime   = 2 * time.Second  // what comes behind the last answer is read for so long; a close resets what a full link holds
 )
 
 // conn is one caller's connection: one goroutine reads requests, one writes answers in their order.
