--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -92,8 +92,7 @@
 mutant brokenOnTruncation $relay/handler.go 'panic(http.ErrAbortHandler)' 'return' $relay TestLongAnswerCutShort
 mutant tracking $relay/here.go 'if p.outcome == Unknown && !target.Upstream().ChecksFence {' 'if false {' $relay TestRequestThatMayLieInASocket
 mutant entryLease $relay/here.go 'if !now.Before(h.options.Lease()) {' 'if false {' $relay TestUncheckedUpstreamNeedsALease
-mutant homeHead $relay/upstream.go '		t.MaxResponseHeaderBytes = bound.MaxAnswerHead + hopFields
-' '' $relay TestEndlessHeadIsBounded
+mutant homeHead $relay/upstream.go 'bound.MaxAnswerHead + hopFields' '10 << 20' $relay TestEndlessHeadIsBounded
 mutant longAnswerToAnID $relay/here.go '	if p.rest != nil {
 		p.rest.onClose = append(p.rest.onClose, cancel)
 	} else {
