broker: an endless body is its upstream's fault already if that was waited for a quarter of the time

Cause: a fast upstream and a fast caller share the time of a stream about evenly, so that a bound of one half told by chance whose fault it was: TestEndlessBodyCountsAsAFailure failed in 2 of 33 runs of the test under the race detector at load 50 to 80.

Change: the share is a quarter; a caller that is waited for leaves the upstream's bytes ready, so that reading takes next to no time. The test's upstream pauses 5 ms behind each 16 KiB. At full speed on both sides the verdict is still a matter of measure; that the outcome is unknown and the connection breaks is not.

--- a/internal/entry/broker/stream.go
+++ b/internal/entry/broker/stream.go
@@ -32,8 +32,14 @@
 	return n, err
 }
 
-// slow reports whether most of the time went by waiting for the upstream, not for the caller.
-func (s *stream) slow() bool { return 2*s.waited > time.Since(s.began) }
+// slowShare is the part of a stream's time that must have gone by waiting for the upstream for its end to be the upstream's fault;
+// while a caller is waited for, what the upstream sent lies ready.
+const slowShare = 0.25
+
+// slow reports whether the upstream was waited for, not the caller.
+func (s *stream) slow() bool {
+	return s.waited.Seconds() > slowShare*time.Since(s.began).Seconds()
+}
 
 // stream returns a long answer, whose rest is read while it is written; only its end tells how the try went.
 func (j *job) stream(ctx context.Context, u table.Upstream, v verdict, took time.Duration, got *conns.Answer, cancel context.CancelFunc) *serve.Answer {
