--- a/internal/shared/events/writer_test.go
+++ b/internal/shared/events/writer_test.go
@@ -30,12 +30,13 @@
 	c := qt.New(t)
 	out := &stuck{}
 	w := newWriter(out)
+	line := []byte(strings.Repeat("x", writeBatch/maxWaiting*4) + "\n") // no batch holds what finds no room
 	out.mutex.Lock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for range 3 * maxWaiting {
-			_, _ = w.Write([]byte("line\n"))
+			_, _ = w.Write(line)
 		}
 	}()
 	select {
@@ -51,7 +52,7 @@
 	c.Assert(w.Sync(), qt.IsNil)
 	out.mutex.Lock()
 	defer out.mutex.Unlock()
-	written := strings.Count(out.text.String(), "line\n")
+	written := strings.Count(out.text.String(), string(line))
 	c.Assert(int64(written)+w.dropped.Load(), qt.Equals, int64(3*maxWaiting))
 }
 
