broker: the test of a key on its way waits for the owner's word, not for 20 ms

It failed in 4 package runs beside load 15 to 40: a second request was sent to the old owner before the first had been turned away there, which is right.

--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -317,16 +317,28 @@
 	f.c.Check(f.servers[2].count(), qt.Equals, 1)
 }
 
+// isNoted reports whether any owner is known not to hold its slice.
+func (s *staleOwners) isNoted() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.owners) > 0
+}
+
 // TestKeyOnItsWay holds that a key is asked for at its old owner until that lets go, that the request then waits for the next
 // one, and that other requests do not try the old owner again.
 func TestKeyOnItsWay(t *testing.T) {
 	f := newFixture(t, nil, []http.HandlerFunc{turnAway(http.StatusMisdirectedRequest), answerWell})
 	f.apply(table.Delta{Tables: []table.TableChanges{{Service: "keyed", Whole: owned(1, 2, 1).Slices()}}})
 	answers := make(chan int, 4)
-	for range 4 {
-		go func() { answers <- f.ask("/keep/x").Status }()
-		time.Sleep(20 * time.Millisecond)
+	ask := func() { answers <- f.ask("/keep/x").Status }
+	go ask()
+	for !f.broker.stale.isNoted() {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		go ask()
 	}
+	time.Sleep(20 * time.Millisecond)
 	f.c.Check(f.servers[0].count(), qt.Equals, 1)
 	f.apply(table.Delta{Tables: []table.TableChanges{{Service: "keyed", Whole: owned(2, 0, 9).Slices()}}})
 	for range 4 {
