--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 soak:
 	EBONYRILL_SOAK_SEEDS=$${SEEDS:-2000} $(GO) test -count=1 -timeout 20m -run 'Soak' -v ./internal/...
-	EBONYRILL_PROCESS_SOAKS=$${PROCESS_SEEDS:-10} $(GO) test -count=1 -timeout 60m -run 'ProcessSoak|PlannedWorkSoak|AcknowledgedSoak' -v ./platform/
+	EBONYRILL_PROCESS_SOAKS=$${PROCESS_SEEDS:-10} EBONYRILL_PROCESS_STOP_SLACK_MS=0 EBONYRILL_PROCESS_CATCH_UP_MS=4000 $(GO) test -count=1 -timeout 60m -run 'ProcessSoak|PlannedWorkSoak|AcknowledgedSoak' -v ./platform/
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem -benchtime 1s ./internal/...
