--- a/_scripts/test.sh
+++ b/_scripts/test.sh
@@ -12,7 +12,7 @@
 if [ -n "$red" ]; then
   skip=(-skip "^($red)\$")
 fi
-"$go" test -race -count=1 -timeout 9m "${skip[@]}" ./...
+"$go" test -race -count=1 -timeout 30m "${skip[@]}" ./...
 status=$?
 if [ -n "$red" ]; then
   echo "known red, passed over:"
