broker, serve: what comes whole after the notice of a stop is passed on only if it ends in time

Cause: whether a request may outlast the stop was asked of those whose first byte came after the notice.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -165,7 +165,7 @@
 mutant lastSixth internal/shared/conf/stop.go 'serveShare = 0.86' 'serveShare = 0.8' internal/shared/conf TestPhasesOfAStopFitItsTime
 mutant longAnswerAtStop $broker/beside.go 'if bounds.Lift() {' 'if comes != nil {' $broker TestStopDoesNotCutLongAnswers
 mutant begunAtStop $broker/beside.go 'context.AfterFunc(j.broker.mayCome' 'context.AfterFunc(j.broker.mayWork' $broker TestStopTakesAnswersThatHaveBegun
-mutant tooLateForStop $broker/stop.go 'j.arrived > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
+mutant tooLateForStop $broker/stop.go 'j.request.Whole > s.noticeEnds && j.expires > s.servingEnds' 'false' $broker TestStopPassesNothingOnThatItWouldCut
 mutant forgottenRests $conns/rests.go 'r.found++' '_ = r.found' $conns TestForgottenConnectionsAreNotUsed
 mutant answerHead $conns/exchange.go 'x.conn.limited.Allow(bound.MaxAnswerHead)' 'x.conn.limited.Allow(bound.Unlimited)' $conns 'TestEndlessHeadIsBounded|TestEndlessHeadsAtOnceKeepMemory'
 mutant skippedWhole $conns/exchange.go ' || n > wholeAnswer {' ' || n < 0 {' $conns TestBodyOfAnothersAnswerIsNoAnswer
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -60,8 +60,8 @@
 
 func (b *Broker) isStopping() bool { return b.stopping.Load() != nil }
 
-// outlastsStop reports whether a request that came after the notice may still be at its upstream when the stop ends that.
+// outlastsStop reports whether a request that came whole after the notice may still be at its upstream when the stop ends that.
 func (j *job) outlastsStop() bool {
 	s := j.broker.stopping.Load()
-	return s != nil && j.arrived > s.noticeEnds && j.expires > s.servingEnds
+	return s != nil && j.request.Whole > s.noticeEnds && j.expires > s.servingEnds
 }
