broker, cmds: only a first try that may be repeated looks for another upstream in a goroutine of its own

Each try, keyed and not idempotent ones too, started a goroutine to do its exchange, though only a first try that may give way has something to do meanwhile; the others do it in place now. The role of a member that stands by is a case of the switch beside the others.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -172,7 +172,7 @@
 mutant quietRests $conns/pool.go ' && c.quiet() {
 				fresh' ' {
 				fresh' $conns TestBytesBehindAnAnswerEndItsConnection
-mutant gaveWayForNothing $broker/beside.go 'part > 0 && j.lookBeside(begun, u, part, left)' 'part > 0 && (j.lookBeside(begun, u, part, left) || begun.Err() == nil)' $broker TestFirstTryIsNotBrokenOff
+mutant gaveWayForNothing $broker/beside.go 'if j.lookBeside(begun, u, part, left) {' 'if j.lookBeside(begun, u, part, left) || begun.Err() == nil {' $broker TestFirstTryIsNotBrokenOff
 mutant brokenStreams $broker/stream.go 's.ended(ctx, written)' 's.ended(ctx, true)' $broker 'TestEndlessBodyCountsAsAFailure|TestBrokenStreams'
 mutant stopOfBusyConnections $serve/phase.go 'if p.sealed || p.stopping && before > 0 {' 'if p.sealed || p.stopping && before > 99 {' $serve TestStopTakesNothingMoreFromBusyConnections
 mutant lastOfTheDue $serve/phase.go '(p.stopping || p.sealed) && p.due == 1' '(p.stopping || p.sealed) && p.due > 0' $serve TestEveryOrderOfAStopAnswersWhatBegan
--- a/internal/entry/broker/beside.go
+++ b/internal/entry/broker/beside.go
@@ -40,16 +40,12 @@
 		}
 		noteBegun()
 	}
-	result := make(chan exchanged, 1)
-	go func() {
+	exchange := func() exchanged {
 		defer noteBegun()
 		a, err := j.broker.pool.Do(ctx, call)
-		result <- exchanged{answer: a, err: err}
-	}()
-	if part := j.firstTry(left); part > 0 && j.lookBeside(begun, u, part, left) {
-		bounds.End(errGaveWay)
+		return exchanged{answer: a, err: err}
 	}
-	r := <-result
+	r := j.besideOthers(begun, bounds, u, left, exchange)
 	if came := comes(); r.err == nil && r.answer.Rest != nil && (!came || ctx.Err() != nil) {
 		r.answer.End(false)
 		bounds.End(retry.ErrStopping)
@@ -58,6 +54,20 @@
 	return r.answer, r.err
 }
 
+// besideOthers does the exchange of a try; a first one that may be repeated looks for another upstream meanwhile.
+func (j *job) besideOthers(begun context.Context, bounds *retry.Bounds, u table.Upstream, left time.Duration, exchange func() exchanged) exchanged {
+	part := j.firstTry(left)
+	if part == 0 {
+		return exchange()
+	}
+	result := make(chan exchanged, 1)
+	go func() { result <- exchange() }()
+	if j.lookBeside(begun, u, part, left) {
+		bounds.End(errGaveWay)
+	}
+	return <-result
+}
+
 // firstTry returns the part of the time that a first try has for itself, zero where it has all of it. A stop leaves no time for
 // another one.
 func (j *job) firstTry(left time.Duration) time.Duration {
--- a/internal/ops/cmds/status.go
+++ b/internal/ops/cmds/status.go
@@ -86,8 +86,7 @@
 		return "leader"
 	case m.Voter:
 		return "voter"
-	}
-	if m.StandsBy {
+	case m.StandsBy:
 		return "standby"
 	}
 	return "learner"
