relay: reject a request that gets its slot from a stop as not run

Cause: a stop cancels each request by a goroutine of its own. One at an upstream that ends first releases its slot, and the waiting request gets it before its own context is cancelled; it was then forwarded. A slot that is released because of the stop is released after h.serving has ended, so the check after Acquire sees it.

Ruled out: a slot freed by a response before the stop; that request is at its upstream and rightly unknown. Looked at for the same cause: the broker ends the wait for slots in a phase of its own before it ends attempts.

--- a/internal/entry/relay/local.go
+++ b/internal/entry/relay/local.go
@@ -93,6 +93,10 @@
 	if err != nil {
 		return notRun(ReasonShed)
 	}
+	if h.serving.Err() != nil { // the slot was freed by a request that the stop ended
+		release()
+		return notRun(ReasonStopping)
+	}
 	deadline := c.deadline
 	if !target.Upstream().ChecksFence {
 		now := time.Now()
