serve: a header line that stops halfway is late or closed, not malformed

Callers got 400 for a request whose header line was read in part when its time ended or a stop rejected incomplete requests, and 400 in place of nothing when they had closed the connection. 400 is final for callers; 408 and 503 tell that the request did not run and may be sent again.

Cause: bufio.Reader.ReadLine returns the part of a line without the error that ended it, so the parser reports a malformed line.

The entry of TestStopAnswersEveryRequestRead/header_half_read,_behind_one_at_an_upstream had a second cause: the stop called leave before it drained the connections, so that a response in between was written with the connection kept open, and the half-read request behind it got a response of its own.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -190,5 +190,7 @@
 mutant http10Reset $serve/write.go '_ = tcp.SetLinger(0)' '_ = tcp' $serve TestHTTP10CallersReadLongResponses/broken
 mutant slowBodyIsRejected $serve/read.go 'return nil, c.rejectLate("the body did not come in time")' 'return nil, &readFailure{closed: err}' $serve TestSlowBodyAffectsNoOtherResponse
 mutant announcedBodyBuffer $serve/read.go 'initialBodyBuffer = 32 << 10' 'initialBodyBuffer = 32 << 30' $serve TestAnnouncedBodyAllocatesLittle
+mutant partOfAHeaderLine $serve/read.go 'err != nil && c.limited.Failure() != nil' 'false' $serve TestHeaderLineThatStopsIsNotMalformed
+mutant drainBeforeLeave $broker/stop.go 'server.Drain()' '_ = server.Drain' $broker TestStopDrainsConnectionsBeforeTheHostLeaves
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/bound/reader.go
+++ b/internal/entry/bound/reader.go
@@ -19,8 +19,9 @@
 
 // Reader reads from a peer until its allowance of bytes is used up.
 type Reader struct {
-	source io.Reader
-	left   int64
+	source  io.Reader
+	left    int64
+	failure error
 }
 
 // NewReader returns a reader with an allowance of zero.
@@ -29,6 +30,9 @@
 // Allow sets how many more bytes may be read.
 func (r *Reader) Allow(bytes int64) { r.left = bytes }
 
+// Failure returns the error that ended the last read from the peer, or nil.
+func (r *Reader) Failure() error { return r.failure }
+
 // Exhausted reports whether the allowance is used up.
 func (r *Reader) Exhausted() bool { return r.left <= 0 }
 
@@ -41,6 +45,7 @@
 		b = b[:r.left]
 	}
 	n, err = r.source.Read(b)
+	r.failure = err
 	r.left -= int64(n)
 	return n, err
 }
--- a/internal/entry/broker/stop.go
+++ b/internal/entry/broker/stop.go
@@ -20,8 +20,8 @@
 	servingEnds time.Duration
 }
 
-// Stop shuts the callers' server down in phases. All requests are served until the notice ends and leave is called. Connections are
-// then closed once their pending responses are written. Later no request may wait for a slot, then none may be at an upstream, and at
+// Stop shuts the callers' server down in phases. All requests are served until the notice ends. Connections are
+// then closed once their pending responses are written, and leave is called. Later no request may wait for a slot, then none may be at an upstream, and at
 // last no response may still be received: such requests get a response of this host, so that the responses behind them on the
 // connection are written too. A response that is being streamed to the caller may continue until the context ends.
 func (b *Broker) Stop(ctx context.Context, server *serve.Server, times conf.StopTimes, leave func()) (err error) {
@@ -40,6 +40,7 @@
 	case <-ctx.Done():
 	case <-time.After(times.Notice()):
 	}
+	server.Drain()
 	leave()
 	return server.Shutdown(ctx)
 }
--- a/internal/entry/broker/stop_test.go
+++ b/internal/entry/broker/stop_test.go
@@ -255,6 +255,9 @@
 			l.write("GET /look/quick HTTP/1.1\r\nHo")
 			s.awaitBegun("/look/slow")
 		}, []int{200}},
+		{"header half read, nothing before it", func(_ *stopFixture, l *callerConn) {
+			l.write("GET /look/quick HTTP/1.1\r\nHo")
+		}, []int{503}},
 		{"HTTP/1.0, connection not persistent", func(s *stopFixture, l *callerConn) {
 			l.write("GET /look/slow HTTP/1.0\r\nHost: h\r\nId: o\r\n\r\n")
 			s.awaitBegun("/look/slow")
@@ -274,6 +277,27 @@
 	}
 }
 
+// TestStopDrainsConnectionsBeforeTheHostLeaves checks that a response that is written while the host leaves is the last on its connection:
+// the rest of a half-read request behind it could no longer be served.
+func TestStopDrainsConnectionsBeforeTheHostLeaves(t *testing.T) {
+	s := newStopFixture(t)
+	l := s.dial()
+	l.get("/look/slow")
+	l.write("GET /look/quick HTTP/1.1\r\nHo")
+	s.awaitBegun("/look/slow")
+	var last received
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimes.End())
+		defer cancel()
+		s.ended <- s.broker.Stop(ctx, s.server, stopTimes, func() {
+			close(s.notice)
+			last = l.readResponse()
+		})
+	}()
+	s.assertAllAnswered()
+	s.c.Check([]any{last.status, last.closes}, qt.DeepEquals, []any{200, true})
+}
+
 // occupyUpstream occupies both slots of the upstream.
 func (s *stopFixture) occupyUpstream() {
 	for i := range 2 {
--- a/internal/entry/serve/read.go
+++ b/internal/entry/serve/read.go
@@ -40,7 +40,7 @@
 	c.limited.Allow(limits.HeaderBytes + headerSlack)
 	c.setReadTimeout(limits.HeaderTimeout)
 	arrived := c.server.options.Clock()
-	request, err := http.ReadRequest(c.reader)
+	request, err := c.readHeader()
 	switch {
 	case err != nil && c.limited.Exhausted():
 		return nil, c.reject(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
@@ -63,6 +63,15 @@
 	return &Request{HTTP: request, Body: body, Arrived: arrived, CompletedAt: c.server.options.Clock()}, nil
 }
 
+// readHeader reads the line and header of a request. Its error is that of the connection if there is one: the parser takes a line of
+// which only a part could be read for malformed.
+func (c *conn) readHeader() (r *http.Request, err error) {
+	if r, err = http.ReadRequest(c.reader); err != nil && c.limited.Failure() != nil {
+		err = c.limited.Failure()
+	}
+	return r, err
+}
+
 // rejectLate rejects a request that was not read before its timeout, or before the server rejects incomplete requests.
 func (c *conn) rejectLate(reason string) *readFailure {
 	c.mutex.Lock()
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -182,6 +182,29 @@
 	f.c.Assert(seen, qt.DeepEquals, []string{"/1"})
 }
 
+// TestHeaderLineThatStopsIsNotMalformed checks that a header that stops within a line gets the response of a late request, or none if
+// the caller closed the connection. The parser takes the part that was read for a malformed line.
+func TestHeaderLineThatStopsIsNotMalformed(t *testing.T) {
+	limits := Limits{HeaderBytes: 2000, BodyBytes: 5000, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 5 * time.Second}
+	for _, part := range []string{"GE", "GET / HTTP/1.1\r\nHo", "GET / HTTP/1.1\r\nHost: h\r\nX-Part"} {
+		t.Run(fmt.Sprintf("late after %q", part), func(t *testing.T) {
+			f := newFixtureWithLimits(t, echo, limits)
+			c := f.dial()
+			c.send(part)
+			status, _, _ := c.readResponse()
+			f.c.Check(status, qt.Equals, http.StatusRequestTimeout)
+		})
+		t.Run(fmt.Sprintf("closed after %q", part), func(t *testing.T) {
+			f := newFixture(t, echo)
+			c := f.dial()
+			c.send(part)
+			_ = c.conn.(*net.TCPConn).CloseWrite()
+			status, _, _ := c.readResponse()
+			f.c.Check(status, qt.Equals, 0)
+		})
+	}
+}
+
 // TestStop checks that Shutdown accepts no new connections and ends a busy one after the responses to all requests that were
 // read. Meanwhile an idle connection ends only by its idle timeout, as Shutdown closes idle connections only when
 // none is busy.
