state: an upstream that was lost while cut off joins again

Cause: an incarnation that is not newer than the newest one known under its name cannot join. That rule keeps a delayed announcement from bringing back a process that has ended, but an upstream of the platform has one incarnation for each start and cannot take another one.

Change: the state keeps, for an incarnation that it drops because its lease expired, that it is lost and the sequence number of its last announcement. A later announcement of an upstream that reports what it holds joins it again, under a new number, owning nothing. An incarnation that left, before or after the loss, or was replaced by a newer process, stays away. A notice of leaving names its incarnation, so that it cannot drain the next one.

Ruled out: a longer lease (10 s at most by the platform, so a cut of 11 s ends it too, and dead owners would be waited for longer).

Before: subtest 'cut off' of TestLostUpstreamJoinsAgain gets status stale.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -192,5 +192,7 @@
 mutant announcedBodyBuffer $serve/read.go 'initialBodyBuffer = 32 << 10' 'initialBodyBuffer = 32 << 30' $serve TestAnnouncedBodyAllocatesLittle
 mutant partOfAHeaderLine $serve/read.go 'err != nil && c.limited.Failure() != nil' 'false' $serve TestHeaderLineThatStopsIsNotMalformed
 mutant drainBeforeLeave $broker/stop.go 'server.Drain()' '_ = server.Drain' $broker TestStopDrainsConnectionsBeforeTheHostLeaves
+mutant lostUpstreamReturns $lease/manager.go '|| joinsAgain(s, a)' '' $lease TestLostUpstreamJoinsAgain
+mutant leftUpstreamStaysAway internal/control/state/state.go 's.setLost(d.Name, 0, false)' '_ = d' internal/control/lease TestLostUpstreamJoinsAgain
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/control/group/announce.go
+++ b/internal/control/group/announce.go
@@ -62,17 +62,19 @@
 }
 
 func (g *Group) leaveAsLeader(ctx context.Context, r *oper.LeaveRequest) (*oper.Empty, error) {
-	known := false
+	incarnation, known := uint64(0), false
 	err := g.leaseRead(ctx, func(*leaderState) error {
-		u, ok := g.state.UpstreamNamed(r.Name)
-		known = ok && (r.Incarnation == 0 || r.Incarnation >= u.Incarnation)
+		_, listed := g.state.UpstreamNamed(r.Name)
+		_, lost := g.state.Lost(r.Name)
+		incarnation = g.state.NewestIncarnation(r.Name)
+		known = (listed || lost) && (r.Incarnation == 0 || r.Incarnation >= incarnation)
 		return nil
 	})
 	if err != nil || !known {
 		return &oper.Empty{}, err
 	}
-	g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", r.Name), zap.Uint64("incarnation", r.Incarnation))
-	_, err = g.proposeAndWait(ctx, state.Command{Drain: &state.Drain{Name: r.Name, On: true, Self: true}})
+	g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", r.Name), zap.Uint64("incarnation", incarnation))
+	_, err = g.proposeAndWait(ctx, state.Command{Drain: &state.Drain{Name: r.Name, On: true, Self: true, Incarnation: incarnation}})
 	return &oper.Empty{}, err
 }
 
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -170,7 +170,7 @@
 			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Reports: a.Reports}})
 	case answer.Status == table.GrantHeld && a.Leaving && !u.Leaving:
 		g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", a.Name), zap.Uint64("incarnation", a.Incarnation))
-		g.proposeNoWait(state.Command{Drain: &state.Drain{Name: a.Name, On: true, Self: true}})
+		g.proposeNoWait(state.Command{Drain: &state.Drain{Name: a.Name, On: true, Self: true, Incarnation: a.Incarnation}})
 	}
 	return answer
 }
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -113,7 +113,8 @@
 func (m *Manager) Update(now time.Duration, s *state.State) {
 	for _, u := range s.Upstreams() {
 		if m.upstreams[u.Number] == nil {
-			m.upstreams[u.Number] = &upstreamLease{renewedAt: now}
+			sequence, _ := s.Lost(u.Name)
+			m.upstreams[u.Number] = &upstreamLease{renewedAt: now, sequence: sequence}
 		}
 	}
 	for number := range m.upstreams {
@@ -197,7 +198,7 @@
 	g = table.GrantResponse{Name: a.Name, Incarnation: a.Incarnation, Sequence: a.Sequence, Status: table.GrantStale}
 	u, ok := s.UpstreamNamed(a.Name)
 	if !ok || u.Incarnation < a.Incarnation {
-		if a.Incarnation > s.NewestIncarnation(a.Name) {
+		if a.Incarnation > s.NewestIncarnation(a.Name) || joinsAgain(s, a) {
 			g.Status = table.GrantJoining
 		}
 		return g
@@ -232,6 +233,13 @@
 	return g
 }
 
+// joinsAgain reports whether an announcement shows that an upstream whose lease expired is back. One that was sent before the loss and
+// arrives late does not.
+func joinsAgain(s *state.State, a table.Announcement) bool {
+	sequence, lost := s.Lost(a.Name)
+	return lost && a.Reports && a.Incarnation == s.NewestIncarnation(a.Name) && a.Sequence > sequence
+}
+
 // Live reports whether the upstream may still hold its lease.
 func (m *Manager) Live(now time.Duration, number uint32) bool {
 	l := m.upstreams[number]
@@ -272,8 +280,8 @@
 			commands = append(commands, state.Command{DropEntry: &state.DropEntry{Name: name, Incarnation: l.incarnation}})
 		}
 	}
-	if numbers := m.expired(now, s); len(numbers) > 0 {
-		commands = append(commands, state.Command{DropUpstreams: &state.DropUpstreams{Numbers: numbers}})
+	if numbers, sequences := m.expired(now, s); len(numbers) > 0 {
+		commands = append(commands, state.Command{DropUpstreams: &state.DropUpstreams{Numbers: numbers, Sequences: sequences}})
 	}
 	if operations := m.finishable(now, s); len(operations) > 0 {
 		commands = append(commands, state.Command{Plan: &state.Plan{Operations: operations}})
@@ -281,9 +289,9 @@
 	return commands
 }
 
-// expired returns the upstreams whose lease has expired and marks the leases as ended. An upstream that does not check
+// expired returns the upstreams whose lease has expired, with their last sequence numbers, and marks the leases as ended. An upstream that does not check
 // fencing tokens is left out until no request can reach it.
-func (m *Manager) expired(now time.Duration, s *state.State) (numbers []uint32) {
+func (m *Manager) expired(now time.Duration, s *state.State) (numbers []uint32, sequences []uint64) {
 	for _, u := range s.Upstreams() {
 		l := m.upstreams[u.Number]
 		if l == nil || l.ended || now-l.renewedAt < m.expiryOf(s, u) {
@@ -291,11 +299,11 @@
 		}
 		if u.ChecksFence || m.quiesced(now, s, u) {
 			l.ended = true
-			numbers = append(numbers, u.Number)
+			numbers, sequences = append(numbers, u.Number), append(sequences, l.sequence)
 			m.dropHandoverDataFor(s, u)
 		}
 	}
-	return numbers
+	return numbers, sequences
 }
 
 // unkeyedExpiry is how long an upstream of a service without keys stays listed without renewal. It covers a network
--- a/internal/control/lease/report_test.go
+++ b/internal/control/lease/report_test.go
@@ -172,3 +172,72 @@
 	f.apply(state.Command{Drain: &state.Drain{Name: "c", On: true, Self: true}})
 	f.c.Assert(dropped(10*time.Second), qt.DeepEquals, []uint32{3})
 }
+
+// lose lets the leases of all upstreams expire and applies their removal.
+func (f *reportFixture) lose() {
+	for _, c := range f.manager.Due(time.Hour, f.state) {
+		f.apply(c)
+	}
+}
+
+// joinAgain joins the upstream a as control does after an announcement with status joining.
+func (f *reportFixture) joinAgain() (u table.Upstream, ok bool) {
+	f.apply(state.Command{JoinUpstream: &table.Upstream{Name: "a", Incarnation: 1, Service: "s", Address: "a", Slots: 1, Connections: 1,
+		ChecksFence: true, Reports: true}})
+	return f.state.UpstreamNamed("a")
+}
+
+// TestLostUpstreamJoinsAgain checks that an upstream whose lease expired while it was cut off from control joins again with the same
+// incarnation and without its earlier slices, and which upstreams do not.
+func TestLostUpstreamJoinsAgain(t *testing.T) {
+	lost := func(t *testing.T) *reportFixture {
+		f := newReportFixture(t)
+		f.operate(state.Assign, 1)
+		f.announce(0, "a", 5, nil)
+		f.lose()
+		return f
+	}
+	t.Run("cut off", func(t *testing.T) {
+		f := lost(t)
+		f.c.Assert(f.announce(time.Hour, "a", 6, nil).Status, qt.Equals, table.GrantJoining)
+		u, ok := f.joinAgain()
+		f.c.Assert(ok, qt.IsTrue)
+		f.c.Check(u.Number, qt.Equals, uint32(3))
+		f.c.Check(f.announce(time.Hour, "a", 7, nil).Grants, qt.HasLen, 0)
+		f.c.Check(f.announce(time.Hour, "a", 4, nil).Status, qt.Equals, table.GrantLate)
+	})
+	t.Run("announcement from before the loss", func(t *testing.T) {
+		f := lost(t)
+		f.c.Check(f.announce(time.Hour, "a", 5, nil).Status, qt.Equals, table.GrantStale)
+	})
+	t.Run("another control host restored from a snapshot", func(t *testing.T) {
+		f := lost(t)
+		data, err := f.state.Encode()
+		f.c.Assert(err, qt.IsNil)
+		f.state, err = state.Decode(data)
+		f.c.Assert(err, qt.IsNil)
+		f.manager = NewManager(NewTiming(time.Second, time.Second), 0, f.state)
+		f.c.Check(f.announce(0, "a", 5, nil).Status, qt.Equals, table.GrantStale)
+		f.c.Check(f.announce(0, "a", 6, nil).Status, qt.Equals, table.GrantJoining)
+	})
+	t.Run("left before it was lost", func(t *testing.T) {
+		f := newReportFixture(t)
+		f.apply(state.Command{Drain: &state.Drain{Name: "a", On: true, Self: true}})
+		f.lose()
+		f.c.Check(f.announce(time.Hour, "a", 6, nil).Status, qt.Equals, table.GrantStale)
+		_, ok := f.joinAgain()
+		f.c.Check(ok, qt.IsFalse)
+	})
+	t.Run("left after it was lost", func(t *testing.T) {
+		f := lost(t)
+		f.apply(state.Command{Drain: &state.Drain{Name: "a", On: true, Self: true, Incarnation: 1}})
+		f.c.Check(f.announce(time.Hour, "a", 6, nil).Status, qt.Equals, table.GrantStale)
+		_, ok := f.joinAgain()
+		f.c.Check(ok, qt.IsFalse)
+	})
+	t.Run("replaced by a newer process", func(t *testing.T) {
+		f := newReportFixture(t)
+		f.apply(state.Command{DropUpstreams: &state.DropUpstreams{Numbers: []uint32{1}}})
+		f.c.Check(f.announce(0, "a", 6, nil).Status, qt.Equals, table.GrantStale)
+	})
+}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -34,16 +34,20 @@
 	Items []items.Item `cbor:"1,keyasint"`
 }
 
-// DropUpstreams removes upstream incarnations. The proposer must have made certain that all their grants have ended.
+// DropUpstreams removes upstream incarnations. The proposer must have made certain that all their grants have ended. If their leases
+// expired, Sequences holds the sequence number of each one's last announcement; if they were replaced by newer processes, it is empty.
 type DropUpstreams struct {
-	Numbers []uint32 `cbor:"1,keyasint"`
+	Numbers   []uint32 `cbor:"1,keyasint"`
+	Sequences []uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Drain starts or ends the draining of an upstream. Self is set if the upstream itself asked for it, not an operator.
+// Drain starts or ends the draining of an upstream. Self is set if the upstream itself asked for it, not an operator; Incarnation is
+// then the one that asked, or zero for every incarnation.
 type Drain struct {
-	Name string `cbor:"1,keyasint"`
-	On   bool   `cbor:"2,keyasint"`
-	Self bool   `cbor:"3,keyasint"`
+	Name        string `cbor:"1,keyasint"`
+	On          bool   `cbor:"2,keyasint"`
+	Self        bool   `cbor:"3,keyasint"`
+	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // DropEntry removes one incarnation of an entry host. The proposer must have made certain that its lease has ended.
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -42,7 +42,7 @@
 	entries      []table.EntryHost  // ordered by name
 	tables       []sliceTable       // ordered by service
 	numberByName map[string]uint32  // number of the newest incarnation by upstream name
-	newestByName map[string]uint64  // newest incarnation by upstream name
+	newestByName map[string]knownIncarnation
 	journal      []journalEntry
 	journalFloor uint64 // version up to which journal entries are missing
 	digest       uint64
@@ -64,6 +64,10 @@
 	Name        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	At          uint64 `cbor:"3,keyasint"`
+	// Lost is set while the incarnation is removed because its lease expired, without having left; Sequence is that of its last
+	// announcement before.
+	Lost     bool   `cbor:"4,keyasint,omitempty"`
+	Sequence uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // journalEntry is one change at a version: slices of a service, upstreams by number, entry hosts by name, or items by key.
@@ -96,7 +100,7 @@
 	case c.JoinUpstream != nil:
 		return s.joinUpstream(*c.JoinUpstream), nil
 	case c.DropUpstreams != nil:
-		return Result{}, s.dropUpstreams(c.DropUpstreams.Numbers)
+		return Result{}, s.dropUpstreams(*c.DropUpstreams)
 	case c.Drain != nil:
 		return s.drain(*c.Drain), nil
 	case c.JoinEntry != nil:
@@ -157,16 +161,23 @@
 
 // NewestIncarnation returns the newest incarnation that has joined under the name, also if it was removed since. It returns zero
 // if none is known.
-func (s *State) NewestIncarnation(name string) uint64 { return s.newestByName[name] }
+func (s *State) NewestIncarnation(name string) uint64 { return s.newestByName[name].Incarnation }
+
+// Lost reports whether the newest incarnation under the name was removed because its lease expired, and has neither left nor joined
+// again since. It returns the sequence number of the last announcement before the incarnation was last lost, or zero.
+func (s *State) Lost(name string) (sequence uint64, lost bool) {
+	k := s.newestByName[name]
+	return k.Sequence, k.Lost
+}
 
 // rebuildNameIndexes rebuilds the maps by upstream name.
 func (s *State) rebuildNameIndexes() {
-	s.numberByName, s.newestByName = map[string]uint32{}, map[string]uint64{}
+	s.numberByName, s.newestByName = map[string]uint32{}, map[string]knownIncarnation{}
 	for _, u := range s.upstreams {
 		s.numberByName[u.Name] = u.Number
 	}
 	for _, n := range s.incarnations {
-		s.newestByName[n.Name] = n.Incarnation
+		s.newestByName[n.Name] = n
 	}
 }
 
@@ -284,11 +295,11 @@
 }
 
 func (s *State) joinUpstream(u table.Upstream) Result {
-	if u.Incarnation <= s.NewestIncarnation(u.Name) {
+	if known := s.newestByName[u.Name]; u.Incarnation <= known.Incarnation && !(known.Lost && u.Reports && u.Incarnation == known.Incarnation) {
 		if current, ok := s.UpstreamNamed(u.Name); ok && current.Incarnation == u.Incarnation {
 			return Result{Number: current.Number}
 		}
-		return Result{Rejection: "a newer incarnation of " + u.Name + " was seen"}
+		return Result{Rejection: "this or a newer incarnation of " + u.Name + " has ended"}
 	}
 	u.Number, u.GrantsVersion = s.nextNumber, s.index
 	s.nextNumber++
@@ -302,26 +313,45 @@
 // setNewestIncarnation records an upstream's newest incarnation. If there are too many names, it drops the one that joined
 // longest ago.
 func (s *State) setNewestIncarnation(name string, incarnation uint64) {
-	if _, known := s.newestByName[name]; known {
+	next := knownIncarnation{Name: name, Incarnation: incarnation, At: s.index}
+	if previous, known := s.newestByName[name]; known {
 		s.incarnations = slices.DeleteFunc(s.incarnations, func(n knownIncarnation) bool { return n.Name == name })
+		if previous.Incarnation == incarnation {
+			next.Sequence = previous.Sequence
+		}
 	}
-	s.incarnations = append(s.incarnations, knownIncarnation{Name: name, Incarnation: incarnation, At: s.index})
-	s.newestByName[name] = incarnation
+	s.incarnations, s.newestByName[name] = append(s.incarnations, next), next
 	if len(s.incarnations) > maxIncarnations {
 		delete(s.newestByName, s.incarnations[0].Name)
 		s.incarnations = slices.Clone(s.incarnations[1:])
 	}
 }
 
+// setLost records whether the newest incarnation under a name may join again.
+func (s *State) setLost(name string, sequence uint64, lost bool) {
+	for i := range s.incarnations {
+		if n := &s.incarnations[i]; n.Name == name {
+			n.Lost, n.Sequence = lost, sequence
+			s.newestByName[name] = *n
+		}
+	}
+}
+
 // dropUpstreams removes upstream incarnations. Of their slices, one that is moving goes to its next owner; the others have no
-// owner afterwards.
-func (s *State) dropUpstreams(numbers []uint32) (err error) {
+// owner afterwards. One whose lease expired may join again if it reports the slices that it holds and did not say that it leaves.
+func (s *State) dropUpstreams(d DropUpstreams) (err error) {
 	var removed []uint32
-	for _, number := range numbers {
-		if i, ok := s.upstreamPosition(number); ok {
-			removed = append(removed, number)
-			s.upstreams = slices.Delete(s.upstreams, i, i+1)
+	for n, number := range d.Numbers {
+		i, ok := s.upstreamPosition(number)
+		if !ok {
+			continue
 		}
+		removed = append(removed, number)
+		u := s.upstreams[i]
+		if n < len(d.Sequences) && u.Reports && !u.Leaving && u.Incarnation == s.NewestIncarnation(u.Name) {
+			s.setLost(u.Name, d.Sequences[n], true)
+		}
+		s.upstreams = slices.Delete(s.upstreams, i, i+1)
 	}
 	if len(removed) == 0 {
 		return nil
@@ -363,8 +393,12 @@
 
 func (s *State) drain(d Drain) Result {
 	var changed []uint32
+	ofIncarnation := func(incarnation uint64) bool { return !d.Self || d.Incarnation == 0 || d.Incarnation == incarnation }
+	if d.Self && d.On && ofIncarnation(s.NewestIncarnation(d.Name)) {
+		s.setLost(d.Name, 0, false)
+	}
 	for i, u := range s.upstreams {
-		if u.Name != d.Name {
+		if u.Name != d.Name || !ofIncarnation(u.Incarnation) {
 			continue
 		}
 		changed = append(changed, u.Number)
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -306,6 +306,19 @@
 	})
 }
 
+// TestLeavingConcernsOneIncarnation checks that the notice of an incarnation that leaves does not drain the next one, which joined before
+// the notice was committed.
+func TestLeavingConcernsOneIncarnation(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness()
+	h.mustApply(t, join("u", 5))
+	h.mustApply(t, join("u", 6))
+	h.mustApply(t, Command{Drain: &Drain{Name: "u", On: true, Self: true, Incarnation: 5}})
+	for _, u := range h.state.Upstreams() {
+		c.Check(u.Leaving, qt.Equals, u.Incarnation == 5)
+	}
+}
+
 func TestStaleOperationsAreSkipped(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness()
