group: entry hosts report upstreams that leave, by process

An upstream may say that it leaves in a response while its heartbeats do not, so an entry host can know it before control does. A renewal now lists such upstreams by name and incarnation until the table shows them as leaving; the leader drains that incarnation once, and one that was lost meanwhile does not join again.

Ruled out: reporting by number, which an upstream loses when it joins again; telling other hosts through the scheduler's results, whose format is fixed by position, so that older hosts would drop every packet.

--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -34,9 +34,10 @@
 	upstreams    map[uint32]*upstreamInfo
 	losses       []leaseLoss
 	lost         map[string]lostEntry
-	syncedIndex  uint64            // log index of the state at the last sync
-	pendingIndex uint64            // log index of the last own proposal; placement waits until it is applied
-	joining      map[string]uint64 // incarnations whose join was proposed, by upstream name or entryKey
+	syncedIndex  uint64                 // log index of the state at the last sync
+	pendingIndex uint64                 // log index of the last own proposal; placement waits until it is applied
+	joining      map[string]uint64      // incarnations whose join was proposed, by upstream name or entryKey
+	departing    map[table.Process]bool // upstreams whose drain was proposed because entry hosts know that they leave
 	health       *place.Health
 	movedShare   float64         // sum of the key space shares that were moved or assigned
 	ejected      map[uint32]bool // upstreams that placement avoids for failures, by number; true once logged
@@ -89,7 +90,7 @@
 func newLeaderState(term uint64, timing lease.Timing, now time.Duration, s *state.State) *leaderState {
 	l := &leaderState{term: term, since: now, leases: lease.NewManager(timing, now, s), services: map[string]*serviceState{},
 		upstreams: map[uint32]*upstreamInfo{}, lost: map[string]lostEntry{},
-		joining: map[string]uint64{}, health: place.NewHealth(), ejected: map[uint32]bool{},
+		joining: map[string]uint64{}, departing: map[table.Process]bool{}, health: place.NewHealth(), ejected: map[uint32]bool{},
 		excludedAt: map[uint32]time.Duration{}, joinRequests: map[raft.ReplicaID]joinRequest{}, latencies: newLatencies()}
 	for _, u := range s.Upstreams() {
 		l.upstreams[u.Number] = &upstreamInfo{name: u.Name, service: u.Service, joinedAt: settledJoinTime}
@@ -197,6 +198,11 @@
 		}
 	}
 	l.losses = slices.DeleteFunc(l.losses, func(x leaseLoss) bool { return now-x.at > flapWindow })
+	for p := range l.departing {
+		if s.NewestIncarnation(p.Name) != p.Incarnation {
+			delete(l.departing, p)
+		}
+	}
 	for name, incarnation := range l.joining {
 		if s.NewestIncarnation(name) >= incarnation {
 			delete(l.joining, name)
--- a/internal/control/group/leave_test.go
+++ b/internal/control/group/leave_test.go
@@ -34,6 +34,13 @@
 			})
 			w.run(w.now + 100*time.Millisecond)
 		}},
+		{"a response seen by an entry host", func(w *world, u *fakeUpstream) {
+			w.leader().step(func(g *Group) error {
+				_, err := g.renewInLoop(&table.Renewal{LeavingUpstreams: []table.Process{{Name: u.name, Incarnation: u.incarnation}}})
+				return err
+			})
+			w.run(w.now + 100*time.Millisecond)
+		}},
 	}
 	failures := []struct {
 		name string
@@ -57,6 +64,27 @@
 	}
 }
 
+// TestReportOfAnEarlierProcessDrainsNothing checks that the report that an earlier process of an upstream leaves does not concern the
+// present one.
+func TestReportOfAnEarlierProcessDrainsNothing(t *testing.T) {
+	w := newWorld(worldOptions{seed: 1, hosts: 3, entries: 2, checked: 2})
+	w.run(2 * time.Second)
+	w.publish(w.leader(), "20260102T150405.000Z-start", 0, []conf.File{worldFile}, func(table.PublishResult) {})
+	w.run(6 * time.Second)
+	u := w.upstreams[0]
+	report := func(incarnation uint64) (leaving bool) {
+		w.leader().step(func(g *Group) error {
+			_, err := g.renewInLoop(&table.Renewal{LeavingUpstreams: []table.Process{{Name: u.name, Incarnation: incarnation}, {Name: "other", Incarnation: 1}}})
+			return err
+		})
+		w.run(w.now + 200*time.Millisecond)
+		known, _ := w.leader().group.state.UpstreamNamed(u.name)
+		return known.Leaving
+	}
+	qt.Check(t, report(u.incarnation-1), qt.IsFalse)
+	qt.Check(t, report(u.incarnation), qt.IsTrue)
+}
+
 func leaveOnce(c *qt.C, seed uint64, checked bool, leave func(*world, *fakeUpstream), fail func(*world)) {
 	c.Helper()
 	o := worldOptions{seed: seed, hosts: 3, entries: 3, checked: 3}
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -112,6 +112,7 @@
 	for _, a := range r.Announcements {
 		answer.Grants = append(answer.Grants, g.renewUpstream(now, l, a))
 	}
+	g.proposeDepartures(l, r.LeavingUpstreams)
 	l.recordLoad(now, r)
 	if _, err = g.servingLeader(); err != nil {
 		return nil, err
@@ -175,6 +176,21 @@
 	return answer
 }
 
+// proposeDepartures proposes to drain the upstreams that an entry host knows to leave. One that was lost must not join again.
+func (g *Group) proposeDepartures(l *leaderState, list []table.Process) {
+	for _, p := range list {
+		u, listed := g.state.UpstreamNamed(p.Name)
+		_, lost := g.state.Lost(p.Name)
+		known := listed && u.Incarnation == p.Incarnation && !u.Leaving || lost && g.state.NewestIncarnation(p.Name) == p.Incarnation
+		if !known || l.departing[p] {
+			continue
+		}
+		l.departing[p] = true
+		g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", p.Name), zap.Uint64("incarnation", p.Incarnation), zap.String("source", "response"))
+		g.proposeNoWait(state.Command{Drain: &state.Drain{Name: p.Name, On: true, Self: true, Incarnation: p.Incarnation}})
+	}
+}
+
 // Limits on the values that an upstream may announce.
 const (
 	maxSlots       = 100000
--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -66,6 +66,7 @@
 	reportedAt  time.Time
 	controlLost atomic.Bool
 	respondedAt atomic.Int64
+	departures  departures
 }
 
 // New returns an agent; RunRenewals and RunWatch do its work.
@@ -209,7 +210,7 @@
 
 func (a *Agent) renewal(pending []pendingAnnouncement) (r table.Renewal) {
 	r = table.Renewal{Host: a.options.Host, Applied: a.options.Table.View().Version(), Oldest: a.options.Table.OldestInFlight(),
-		Leaving: a.leaving.Load()}
+		Leaving: a.leaving.Load(), LeavingUpstreams: a.departures.pending(time.Now(), a.options.Table.View())}
 	for _, p := range pending {
 		r.Announcements = append(r.Announcements, p.message)
 	}
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -170,6 +170,8 @@
 	Slices        []SliceCount    `cbor:"7,keyasint,omitempty"`
 	Keys          []KeyCount      `cbor:"8,keyasint,omitempty"`
 	UpstreamStats []UpstreamStats `cbor:"9,keyasint,omitempty"`
+	// LeavingUpstreams are those that this host knows to leave from their responses, and that the table does not show as leaving.
+	LeavingUpstreams []Process `cbor:"10,keyasint,omitempty"`
 }
 
 // RenewalResponse is the response to a renewal. Grants holds a response to each announcement, Version is the table's version.
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -32,6 +32,15 @@
 	Reports bool `cbor:"14,keyasint,omitempty" json:"reports,omitempty"`
 }
 
+// Process identifies an upstream process. An upstream that was lost and joins again has another number and is the same process.
+type Process struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// Process returns the identity of the upstream's process.
+func (u Upstream) Process() Process { return Process{Name: u.Name, Incarnation: u.Incarnation} }
+
 // EntryHost is one incarnation of a daemon that accepts callers' requests. JoinedAt is the log index at which it joined.
 type EntryHost struct {
 	Name        string `cbor:"1,keyasint" json:"name"`
