broker: leave upstreams alone that say they leave or want a pause

Requests reached upstreams after they had said in a response that they leave, as long as their heartbeats said that they are ready, and upstreams that turned requests away with 503 and Retry-After got the next ones at once: neither header was read.

Change: the header of each response is read as soon as it arrives, whatever its status and however its body ends. What an upstream said is kept by process (name and incarnation), so that an older table, a new number of the same process or an unreachable control change nothing. Leaving: requests without a key go elsewhere at once, those for its keys end after 0.7 of the leave time, checked again when a connection is open; control is told. Pause: nothing is sent until its end, at most 60 s (5 s for a date); requests whose every upstream pauses wait if the pause is short against their time, and are rejected at once otherwise, with the true time plus a spread of 0.2 s.

A pause concerns this host only, as the protocol says; the scheduler learns it by the request's list of excluded upstreams.

--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -109,11 +109,19 @@
 	return nil
 }
 
+// errPaused is the cause of a request that was not sent because its upstream asked for a pause meanwhile.
+var errPaused = errors.New("upstream asked for a pause")
+
 // checkUpstream returns an error if the upstream may no longer be sent requests, as opening a connection to it may have taken a while.
 func (j *job) checkUpstream(u table.Upstream) error {
-	current, ok := j.broker.options.Table.View().Upstream(u.Number)
-	if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {
+	b := j.broker
+	now := b.options.Clock()
+	current, ok := b.options.Table.View().Upstream(u.Number)
+	switch {
+	case !ok || !b.mayServe(now, current):
 		return errWithdrawn
+	case b.upstreams.notices.pause(now, current) > 0:
+		return errPaused
 	}
 	return nil
 }
@@ -127,14 +135,17 @@
 	j.cause = err.Error()
 	if isNotSent(err) {
 		result := resultConnectFailed
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, retry.ErrStopping) {
+		j.reason = ReasonNotReached
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errPaused) || errors.Is(err, retry.ErrStopping) {
 			result = resultAbandoned
 		}
+		if errors.Is(err, errPaused) {
+			j.reason = ReasonPaused
+		}
 		j.sends--
 		j.request.SetStage(serve.StageWaiting)
 		j.finishAttempt(u, result, took, nil)
 		j.exclude(u)
-		j.reason = ReasonNotReached
 		return nil, true
 	}
 	j.attempts++
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -26,7 +26,7 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
-var headerNames = HeaderNames{RequestID: "Id", TimeLeft: "Left", Instance: "Instance", NotRun: "Not-Run", Load: "Load", Proof: "Proof", Key: "Key"}
+var headerNames = HeaderNames{RequestID: "Id", TimeLeft: "Left", Instance: "Instance", NotRun: "Not-Run", Load: "Load", Proof: "Proof", Leaving: "Leaving", Key: "Key"}
 
 // testUpstream is an upstream with a handler given by the test; it keeps the requests that it receives.
 type testUpstream struct {
@@ -63,7 +63,8 @@
 	r.unanswered += n
 	r.mutex.Unlock()
 }
-func (r *recorder) Completed(x Record) { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
+func (r *recorder) Noticed(string, Notice) {}
+func (r *recorder) Completed(x Record)     { r.mutex.Lock(); r.list = append(r.list, x); r.mutex.Unlock() }
 func (r *recorder) last() Record {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/entry/broker/failover.go
+++ b/internal/entry/broker/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,8 @@
 	call := j.upstreamCall(u, left)
 	begun, markBegun := context.WithCancel(ctx)
 	disarm := func() bool { return false }
-	call.OnHeader = func() {
+	call.OnHeader = func(status int, header http.Header) {
+		j.broker.readNotice(j.id, u, status, header)
 		if bounds.Disarm() {
 			disarm = context.AfterFunc(j.broker.receiveCtx, func() { bounds.End(retry.ErrStopping) })
 		}
--- a/internal/entry/broker/response.go
+++ b/internal/entry/broker/response.go
@@ -11,6 +11,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
+	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 )
 
@@ -94,9 +95,22 @@
 	if ctx.Err() != nil {
 		return j.endedResponse(ctx)
 	}
+	if pause := j.pauseLeft(); pause > 0 {
+		return j.reject(ReasonPaused, spreadReturn(pause))
+	}
 	return j.reject(j.reason, rejectedRetryAfter)
 }
 
+// pauseLeft returns how long the upstreams that could run the request still pause, or zero if one of them does not.
+func (j *job) pauseLeft() time.Duration {
+	b := j.broker
+	now, view := b.options.Clock(), b.options.Table.View()
+	if j.keyed {
+		return b.upstreams.notices.pause(now, route.Owner(view, j.service, j.hash).Upstream)
+	}
+	return b.upstreams.pauseOf(now, view, j.service)
+}
+
 // complete records the final response for the observer and the log.
 func (j *job) complete(status int, outcome relay.Outcome, reason Reason) {
 	b := j.broker
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -41,13 +41,8 @@
 }
 
 // schedulerUpstreams returns the upstreams of a service in the form that the scheduler needs.
-func (b *Broker) schedulerUpstreams(service string) (list []sched.Upstream) {
-	now := b.options.Clock()
-	for _, u := range b.options.Table.View().UpstreamsOf(service) {
-		list = append(list, sched.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre, Draining: u.Leaving,
-			Cold: b.upstreams.cold(now, u)})
-	}
-	return list
+func (b *Broker) schedulerUpstreams(service string) []sched.Upstream {
+	return b.upstreams.describe(b.options.Clock(), b.options.Table.View().UpstreamsOf(service))
 }
 
 // selectUpstream returns the upstream for the next attempt, or the response to send if there is none.
@@ -72,11 +67,35 @@
 		return u, rejection
 	}
 	b := j.broker
-	u, ok := b.upstreams.choose(b.options.Clock(), b.options.Table.View(), j.service, b.options.DataCentre, j.excluded)
-	if !ok {
+	now, view := b.options.Clock(), b.options.Table.View()
+	u, ok := b.upstreams.choose(now, view, j.service, b.options.DataCentre, j.excluded)
+	if ok {
+		return u, nil
+	}
+	pause := b.upstreams.pauseOf(now, view, j.service)
+	if pause == 0 {
 		return u, j.reject(ReasonNoUpstream, noUpstreamRetryAfter)
 	}
-	return u, nil
+	if rejection = j.awaitPause(ctx, pause); rejection != nil {
+		return u, rejection
+	}
+	return j.selectUpstream(ctx)
+}
+
+// awaitPause waits until the upstreams of the request want requests again. It returns a response at once if that takes too long.
+func (j *job) awaitPause(ctx context.Context, pause time.Duration) (rejection *serve.Response) {
+	began := j.broker.options.Clock()
+	if pause > time.Duration(pauseWaitShare*float64(j.expires-began)) {
+		return j.reject(ReasonPaused, spreadReturn(pause))
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	j.waited += j.broker.options.Clock() - began
+	return nil
 }
 
 // withinBudget reports whether the retry budget allows the request to be sent, and counts a retry if the request was sent before.
@@ -137,14 +156,13 @@
 	return r, nil
 }
 
-// excludedFor returns the upstreams that must not be used for a request: those that were tried already, those that are draining,
+// excludedFor returns the upstreams that must not be used for a request: those that were tried already, those that leave or pause,
 // which the scheduler may not know yet, and those that this host cannot connect to.
 func (b *Broker) excludedFor(now time.Duration, j *job) []uint32 {
 	list := slices.Clone(j.excluded)
-	for _, u := range b.options.Table.View().UpstreamsOf(j.service) {
-		reachable, _ := b.upstreams.reachable(now, u)
-		if (u.Leaving || !reachable) && !slices.Contains(list, u.Number) {
-			list = append(list, u.Number)
+	for _, number := range b.upstreams.unusable(now, j.service) {
+		if !slices.Contains(list, number) {
+			list = append(list, number)
 		}
 	}
 	return list
@@ -162,6 +180,12 @@
 		o := route.Owner(view, j.service, j.hash)
 		switch {
 		case o.Known && !b.staleOwners.skip(now, j.service, o) && b.mayServe(now, o.Upstream):
+			if pause := b.upstreams.notices.pause(now, o.Upstream); pause > 0 {
+				if rejection = j.awaitPause(ctx, pause); rejection != nil {
+					return u, rejection
+				}
+				break
+			}
 			u, rejection, again := j.acquireAtOwner(ctx, o)
 			if !again {
 				return u, rejection
@@ -181,7 +205,12 @@
 
 // mayServe reports whether an upstream may still be sent requests, which ends some time after it began to drain.
 func (b *Broker) mayServe(now time.Duration, u table.Upstream) bool {
-	return b.upstreams.mayServe(now, u, time.Duration(leaveMargin*float64(b.options.LeaveTime)))
+	return b.upstreams.mayServe(now, u, b.leaveTime())
+}
+
+// leaveTime is how long an upstream is still sent requests after this host learned that it leaves.
+func (b *Broker) leaveTime() time.Duration {
+	return time.Duration(leaveMargin * float64(b.options.LeaveTime))
 }
 
 // acquireAtOwner acquires a slot at the owner. It returns again as true if the owner changed while the request waited.
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -35,26 +35,29 @@
 	unreachableUntil time.Duration
 	connectFailures  int
 	seenAt           time.Duration
-	drainingAt       time.Duration
-	drainingKnown    bool
+	service          string
 }
 
 // tracker holds the state of all upstreams and the average latency of each service in seconds; it is safe for concurrent use.
 type tracker struct {
+	notices        *notices
 	mutex          sync.Mutex
 	upstreams      map[uint32]*upstreamState
 	averageLatency map[string]float64
+	// unreachable holds the upstreams, by number, to which the last connection attempt failed.
+	unreachable map[uint32]*upstreamState
 }
 
 func newTracker() *tracker {
-	return &tracker{upstreams: map[uint32]*upstreamState{}, averageLatency: map[string]float64{}}
+	return &tracker{notices: newNotices(), upstreams: map[uint32]*upstreamState{}, averageLatency: map[string]float64{},
+		unreachable: map[uint32]*upstreamState{}}
 }
 
 // get returns the state of an upstream and creates it if necessary; the mutex must be held.
 func (t *tracker) get(now time.Duration, u table.Upstream) *upstreamState {
 	s := t.upstreams[u.Number]
 	if s == nil {
-		s = &upstreamState{seenAt: now}
+		s = &upstreamState{seenAt: now, service: u.Service}
 		t.upstreams[u.Number] = s
 	}
 	return s
@@ -62,28 +65,41 @@
 
 // update applies a new view of the table: it removes upstreams that are gone and records when upstreams began to drain.
 func (t *tracker) update(now time.Duration, v *table.View) {
+	t.notices.update(now, v)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for number := range t.upstreams {
 		if _, ok := v.Upstream(number); !ok {
 			delete(t.upstreams, number)
+			delete(t.unreachable, number)
 		}
 	}
 	for _, u := range v.Upstreams() {
-		s := t.get(now, u)
-		if u.Leaving && !s.drainingKnown {
-			s.drainingKnown, s.drainingAt = true, now
-		}
+		t.get(now, u)
 	}
 }
 
 // mayServe reports whether an upstream may still be sent requests. One that is draining may for leaveTime after this host learned of
 // it.
 func (t *tracker) mayServe(now time.Duration, u table.Upstream, leaveTime time.Duration) bool {
+	at, leaving := t.notices.leavingSince(u)
+	if !leaving {
+		return !u.Leaving
+	}
+	return now-at < leaveTime
+}
+
+// unusable returns the upstreams of a service that must not get requests without a key: those that leave, pause or cannot be connected to.
+func (t *tracker) unusable(now time.Duration, service string) (numbers []uint32) {
+	numbers, _ = t.notices.unwilling(now, service)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	s := t.get(now, u)
-	return !u.Leaving || s.drainingKnown && now-s.drainingAt < leaveTime
+	for number, s := range t.unreachable {
+		if s.service == service && now < s.unreachableUntil {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
 }
 
 // reachable reports whether an upstream may be connected to, and otherwise after which time it may be tried again.
@@ -97,9 +113,11 @@
 // choose returns the upstream for a request of a service that any upstream may serve. Upstreams that could not be connected to are used
 // only if there is no other.
 func (t *tracker) choose(now time.Duration, v *table.View, service, dataCentre string, exclude []uint32) (u table.Upstream, ok bool) {
+	unwilling, _ := t.notices.unwilling(now, service)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	list := v.UpstreamsOf(service)
+	exclude = slices.Concat(exclude, unwilling)
 	for _, reachableOnly := range []bool{true, false} {
 		var candidates []pick.Candidate
 		var chosen []table.Upstream
@@ -139,11 +157,27 @@
 	return s.failureRate / (1 + halfLives)
 }
 
-// cold reports whether an upstream joined so recently that it may still be slow.
-func (t *tracker) cold(now time.Duration, u table.Upstream) bool {
+// describe returns upstreams in the form that the scheduler needs. One that joined recently is cold: it may still be slow.
+func (t *tracker) describe(now time.Duration, upstreams []table.Upstream) []sched.Upstream {
+	list := make([]sched.Upstream, 0, len(upstreams))
+	leaving := t.notices.leavingNumbers()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return now-t.get(now, u).seenAt < coldTime
+	for _, u := range upstreams {
+		list = append(list, sched.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre, Draining: u.Leaving || leaving[u.Number],
+			Cold: now-t.get(now, u).seenAt < coldTime})
+	}
+	return list
+}
+
+// pauseOf returns the time until the first upstream of a service may get requests again, if all of them leave or pause, and otherwise
+// zero.
+func (t *tracker) pauseOf(now time.Duration, v *table.View, service string) time.Duration {
+	numbers, soonest := t.notices.unwilling(now, service)
+	if len(numbers) < len(v.UpstreamsOf(service)) {
+		return 0
+	}
+	return soonest
 }
 
 // requestStarted counts a request that is sent to an upstream.
@@ -186,6 +220,7 @@
 	}
 	if result != resultConnectFailed && result != resultAbandoned {
 		s.connectFailures, s.unreachableUntil = 0, 0
+		delete(t.unreachable, u.Number)
 	}
 	switch result {
 	case resultAnswered:
@@ -195,6 +230,7 @@
 		s.updateFailureRate(now, 1)
 	case resultConnectFailed:
 		s.connectFailures++
+		t.unreachable[u.Number] = s
 		s.unreachableUntil = now + min(minConnectPause<<min(s.connectFailures-1, 4), maxConnectPause)
 	}
 }
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -12,6 +12,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
 // HeaderNames holds the names of the header fields that a platform's callers and upstreams use.
@@ -28,6 +29,8 @@
 	Load string
 	// Proof is set in every response that an upstream's own server generates.
 	Proof string
+	// Leaving is set to 1 in the responses of an upstream that is leaving.
+	Leaving string
 	// Key holds the numbered key of a request.
 	Key string
 }
@@ -40,6 +43,8 @@
 	Attempted(upstream uint32, failed bool, took time.Duration)
 	// Completed counts a request's final response.
 	Completed(r Record)
+	// Noticed counts what upstreams of a service say about themselves in their responses.
+	Noticed(service string, n Notice)
 	// Unanswered counts requests whose caller's connection ended before their responses were written, by cause and by processing stage.
 	Unanswered(cause serve.Cause, stage serve.Stage, n int)
 }
@@ -57,6 +62,8 @@
 	ControlReachable func() bool
 	// LeaveTime is how long an upstream may still be sent requests after it began to drain.
 	LeaveTime time.Duration
+	// OnLeaving, if set, is called when a response shows that an upstream is leaving.
+	OnLeaving func(p table.Process)
 	Observer  Observer
 	Log       *events.Log
 	Clock     clock.Clock
@@ -75,6 +82,7 @@
 	ReasonNoOwner     Reason = "noOwner"
 	ReasonNotReached  Reason = "notReached"
 	ReasonTurnedAway  Reason = "turnedAway"
+	ReasonPaused      Reason = "paused"
 	ReasonOverloaded  Reason = "overloaded"
 	ReasonUnanswered  Reason = "unanswered"
 	ReasonTimeout     Reason = "timeout"
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -26,7 +26,7 @@
 
 // Call is one request to an upstream. Key identifies the upstream process. ID is the value of the header field IDHeader, which the
 // response must repeat. BeforeSend, if set, is called once there is a connection, before the first byte is sent; if it returns an
-// error, the request is not sent. OnHeader, if set, is called when the header of the response has been read.
+// error, the request is not sent. OnHeader, if set, is called with the status and header of the response when they have been read.
 type Call struct {
 	Key        string
 	Address    string
@@ -39,7 +39,7 @@
 	ID         string
 	Idempotent bool
 	BeforeSend func() error
-	OnHeader   func()
+	OnHeader   func(status int, header http.Header)
 }
 
 // Response is an upstream's response. Body is complete if Rest is nil; otherwise Rest reads the remainder from the connection, and
@@ -207,7 +207,7 @@
 			continue
 		}
 		if x.call.OnHeader != nil {
-			x.call.OnHeader()
+			x.call.OnHeader(r.StatusCode, r.Header)
 		}
 		return x.readBody(r)
 	}
--- a/internal/entry/stats/recorder.go
+++ b/internal/entry/stats/recorder.go
@@ -40,6 +40,7 @@
 	requests   *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	unanswered *prometheus.CounterVec
+	notices    *prometheus.CounterVec
 }
 
 // New returns an empty recorder and registers its metrics.
@@ -52,7 +53,10 @@
 	rec.unanswered = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ebonyrill_unanswered_total",
 		Help: "Requests that were read and whose connection ended without their answers, by cause and by how far they were."},
 		[]string{"cause", "stage"})
-	registry.MustRegister(rec.requests, rec.latency, rec.unanswered)
+	rec.notices = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ebonyrill_upstream_notices_total",
+		Help: "Responses in which upstreams first say that they leave, ask for a pause, or have an invalid field for either."},
+		[]string{"service", "notice"})
+	registry.MustRegister(rec.requests, rec.latency, rec.unanswered, rec.notices)
 	return rec
 }
 
@@ -126,6 +130,17 @@
 	rec.burn.Add(r.Service, time.Now(), brokerCategory(r))
 }
 
+// RegisterUnwilling registers a metric for the number of upstreams that leave or pause for this host, which count returns.
+func RegisterUnwilling(registry prometheus.Registerer, count func() int) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ebonyrill_upstreams_unwilling",
+		Help: "Upstreams that leave, or have asked this host for a pause that is not over."}, func() float64 { return float64(count()) }))
+}
+
+// Noticed counts what upstreams of a service say about themselves in their responses.
+func (rec *Recorder) Noticed(service string, n broker.Notice) {
+	rec.notices.WithLabelValues(service, string(n)).Inc()
+}
+
 // Unanswered counts requests whose caller's connection ended before their responses were sent.
 func (rec *Recorder) Unanswered(cause serve.Cause, stage serve.Stage, n int) {
 	if n > 0 {
@@ -136,7 +151,7 @@
 // brokerCategory is the counterpart of relayCategory for requests that the broker handled.
 func brokerCategory(r broker.Record) burn.Category {
 	switch {
-	case r.Reason == broker.ReasonOverloaded || r.Reason == broker.ReasonTurnedAway:
+	case r.Reason == broker.ReasonOverloaded || r.Reason == broker.ReasonTurnedAway || r.Reason == broker.ReasonPaused:
 		return burn.Shed
 	case r.Reason == broker.ReasonNoOwner:
 		return burn.Moved
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -12,6 +12,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
+	"ebonyrill.dev/ebonyrill/internal/entry/stats"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
@@ -53,8 +54,9 @@
 // openBroker creates the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Headers: d.platform.HeaderNames(),
-		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable,
+		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable, OnLeaving: d.agent.ReportLeaving,
 		Retries: retry.Limits{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
+	stats.RegisterUnwilling(d.registry, d.broker.Unwilling)
 	d.brokerServer = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, OnRejected: d.broker.Rejected,
 		OnUnanswered: d.broker.Unanswered, OnPanic: d.broker.Panicked})
 }
