broker, table: work per version of the table only for what it changed

Views carry the version that last changed upstreams or entry hosts; hosts and homes are updated when that changes, and once a second for what depends on time. A renewal follows a version at once only where control waits for it: before the host has its lease, and while an upstream checks no fencing tokens. The status of items behind by host is up to a second later.

--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -278,7 +278,7 @@
 	if after.Config().Version != before.Config().Version {
 		a.options.Log.Write(events.ConfigInForce, zap.Uint64("version", after.Config().Version))
 	}
-	if after.Version() != before.Version() {
+	if after.Unchecked() || !a.HasLease() {
 		a.wakeRenewals()
 	}
 	return true
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -57,10 +57,13 @@
 func (b *Broker) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
+	applied := uint64(0)
 	for {
 		view := b.options.Table.View()
-		b.upstreams.update(b.options.Clock(), view)
-		b.schedulerNode.Update()
+		if view.HostsVersion() != applied {
+			applied = view.HostsVersion()
+			b.updateHosts(view)
+		}
 		changed, cancel := context.WithTimeout(ctx, sweepPeriod)
 		_ = b.options.Table.Await(changed, view.Version())
 		cancel()
@@ -69,11 +72,18 @@
 			return nil
 		case <-ticker.C:
 			b.sweep()
+			b.updateHosts(b.options.Table.View())
 		default:
 		}
 	}
 }
 
+// updateHosts applies changes of upstreams and entry hosts, and the time that has passed for them.
+func (b *Broker) updateHosts(view *table.View) {
+	b.upstreams.update(b.options.Clock(), view)
+	b.schedulerNode.Update()
+}
+
 // sweepPeriod is how often connections that have been idle for too long are closed; it is short compared to idle times.
 const sweepPeriod = time.Second
 
--- a/internal/entry/broker/notice.go
+++ b/internal/entry/broker/notice.go
@@ -110,6 +110,11 @@
 func (n *notices) leave(now time.Duration, u table.Upstream) (first bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	return n.markLeaving(now, u)
+}
+
+// markLeaving is leave for a caller that holds the mutex.
+func (n *notices) markLeaving(now time.Duration, u table.Upstream) (first bool) {
 	p := n.of(now, u)
 	if p.leaving {
 		return false
@@ -192,18 +197,16 @@
 
 // update applies a new view of the table. It forgets pauses that are over, and processes that are not in the table for long.
 func (n *notices) update(now time.Duration, v *table.View) {
-	for _, u := range v.Upstreams() {
-		if u.Leaving {
-			n.leave(now, u)
-		}
-	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	for _, p := range n.processes {
 		p.number, p.service = 0, ""
 	}
 	for _, u := range v.Upstreams() {
-		if n.processes[u.Process()] != nil {
+		switch {
+		case u.Leaving:
+			n.markLeaving(now, u)
+		case len(n.processes) > 0 && n.processes[u.Process()] != nil:
 			n.of(now, u)
 		}
 	}
--- a/internal/entry/route/home.go
+++ b/internal/entry/route/home.go
@@ -19,8 +19,9 @@
 // homeHistory records since when this host has been the home of each of its upstreams, and when it applied each version of the
 // table.
 type homeHistory struct {
-	applied   []applied
-	homeSince map[uint32]time.Time
+	applied      []applied
+	homeSince    map[uint32]time.Time
+	hostsVersion uint64
 }
 
 func newHomeHistory() homeHistory { return homeHistory{homeSince: map[uint32]time.Time{}} }
@@ -31,6 +32,10 @@
 	if len(h.applied) > maxApplied {
 		h.applied = append([]applied(nil), h.applied[1:]...)
 	}
+	if h.hostsVersion == v.HostsVersion() {
+		return
+	}
+	h.hostsVersion = v.HostsVersion()
 	homes := make(map[uint32]time.Time, len(h.homeSince))
 	for number := range v.Upstreams() {
 		if home, ok := v.Home(number); !ok || home.Name != self {
--- a/internal/shared/table/homes.go
+++ b/internal/shared/table/homes.go
@@ -84,10 +84,11 @@
 	for _, u := range d.Upstreams {
 		v.upstreams[u.Number] = u
 	}
-	v.byService = map[string][]Upstream{}
+	v.byService, v.unchecked = map[string][]Upstream{}, false
 	for _, number := range slices.Sorted(maps.Keys(v.upstreams)) {
 		u := v.upstreams[number]
 		v.byService[u.Service] = append(v.byService[u.Service], u)
+		v.unchecked = v.unchecked || !u.ChecksFence
 	}
 }
 
@@ -108,6 +109,7 @@
 	if !d.Full && len(d.Upstreams)+len(d.RemovedUpstreams)+len(d.Entries)+len(d.RemovedEntries) == 0 {
 		return
 	}
+	v.hostsVersion = v.version
 	all, added := NewHomes(v.entries), NewHomes(d.Entries)
 	changed := map[string]bool{}
 	for _, e := range d.Entries {
--- a/internal/shared/table/view.go
+++ b/internal/shared/table/view.go
@@ -24,6 +24,9 @@
 	items     *items.Set
 	control   []ControlHost
 	byService map[string][]Upstream
+	// hostsVersion is the version that last changed upstreams or entry hosts.
+	hostsVersion uint64
+	unchecked    bool
 }
 
 // ErrNotNewer is returned for a delta that leads to an older version than the view's or does not start at the view's version.
@@ -59,7 +62,7 @@
 		return nil, &ErrNotNewer{Held: v.version, Offered: d.To}
 	}
 	next = &View{version: d.To, digest: v.digest, config: v.config, services: v.services, upstreams: v.upstreams,
-		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService}
+		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService, hostsVersion: v.hostsVersion, unchecked: v.unchecked}
 	next.applyItems(d)
 	if err = next.applyConfig(d.Config); err != nil {
 		return nil, err
@@ -129,6 +132,12 @@
 // Version returns the version of the view; zero means that no table was received yet.
 func (v *View) Version() uint64 { return v.version }
 
+// HostsVersion returns the version that last changed upstreams or entry hosts.
+func (v *View) HostsVersion() uint64 { return v.hostsVersion }
+
+// Unchecked reports whether an upstream checks no fencing tokens; control then has to know which versions entry hosts apply.
+func (v *View) Unchecked() bool { return v.unchecked }
+
 // Digest returns the checksum over all slices.
 func (v *View) Digest() uint64 { return v.digest }
 
