sched: prefer the upstream to which a host has an idle connection

The scheduler knows which host last used an upstream, and gives that one a small advantage: less than the cost of one more busy slot, so that load still spreads first. No message changes.

Ruled out: idle connections listed in the slot request, which would change its format and add bytes to links of 2 Mbit/s.

--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -143,10 +143,14 @@
 		if !eligible(j, u) {
 			continue
 		}
+		cost := list[i]
+		if u.warmFor(c.now, j.key.Host) {
+			cost -= warmBonus
+		}
 		if u.busy >= u.limit() {
-			lowestBusy = min(lowestBusy, list[i])
-		} else if list[i] < lowest {
-			best, lowest = u, list[i]
+			lowestBusy = min(lowestBusy, cost)
+		} else if cost < lowest {
+			best, lowest = u, cost
 		}
 	}
 	if best != nil && lowestBusy+minAdvantage < lowest && s.worthWaiting(c, j, lowest, ahead) {
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,8 @@
 	failureRateHalfLife = 4 * time.Second         // the failure rate halves in this time if there are no new responses
 	remoteCost          = 0.35                    // cost of an upstream in another data centre: network latency and traffic
 	coldCost            = 0.7                     // cost of an upstream that started recently
+	warmBonus           = 0.1                     // advantage of an upstream to which the host probably has an idle connection; below loadCost
+	warmTime            = 2 * time.Second         // how long a host probably keeps a connection idle
 	initialAvgTime      = 200 * time.Millisecond  // average time of a service before the first response
 	expiryGrace         = 300 * time.Millisecond  // a slot without a result is released this long after its request has expired
 	connectFailureTTL   = 1500 * time.Millisecond // how long a host's failure to connect to an upstream counts
@@ -37,6 +40,8 @@
 	failureRate     float64
 	failureRateAt   time.Duration
 	connectFailures map[string]time.Duration
+	// usedBy holds when entry hosts last finished a request there, while they may have an idle connection.
+	usedBy map[string]time.Duration
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
@@ -76,7 +81,7 @@
 		known[upstream.Number] = true
 		u := s.upstreams[upstream.Number]
 		if u == nil {
-			u = &upstreamState{latencyRatio: 1, connectFailures: map[string]time.Duration{}}
+			u = &upstreamState{latencyRatio: 1, connectFailures: map[string]time.Duration{}, usedBy: map[string]time.Duration{}}
 			s.upstreams[upstream.Number] = u
 		}
 		u.upstream = upstream
@@ -193,6 +198,7 @@
 func (s *Scheduler) recordResult(now time.Duration, u *upstreamState, host string, r Result) {
 	if r.Completion != ConnectFailed && r.Completion != Abandoned {
 		delete(u.connectFailures, host)
+		u.noteUse(now, host)
 	}
 	switch r.Completion {
 	case Answered:
@@ -212,6 +218,23 @@
 	}
 }
 
+// maxUsedBy is the number of entry hosts of which the use of one upstream is remembered before old entries are dropped.
+const maxUsedBy = 32
+
+// noteUse records that a host has finished a request at the upstream.
+func (u *upstreamState) noteUse(now time.Duration, host string) {
+	if len(u.usedBy) >= maxUsedBy {
+		maps.DeleteFunc(u.usedBy, func(_ string, at time.Duration) bool { return now-at >= warmTime })
+	}
+	u.usedBy[host] = now
+}
+
+// warmFor reports whether a host probably has an idle connection to the upstream.
+func (u *upstreamState) warmFor(now time.Duration, host string) bool {
+	at, ok := u.usedBy[host]
+	return ok && now-at < warmTime
+}
+
 // addSample adds a response to the failure rate; failed is 1 for a failure and 0 for a success.
 func (u *upstreamState) addSample(now time.Duration, failed float64) {
 	u.failureRate = u.failureRateNow(now)
