sched: choose a scheduler without lists of all hosts and upstreams

Every host also woke 67 times a second to look for queued requests.

A directory of each service and the ranking of hosts for each subset are derived from the table once and kept until the next update. The tick is 15 ms only while a request is queued, and 70 ms otherwise.

The tests of subsets check the same as before, at the directory.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -197,7 +197,7 @@
 mutant leavingInResponse $broker/notice.go 'if n.leaving && b.upstreams.notices.leave(now, u) {' 'if false {' $broker TestLeavingInAnyResponseEndsUse
 mutant leavingIsFinal $broker/notice.go 'return !p.leaving && p.pausedUntil <= now ||' 'return p.number == 0 ||' $broker TestLeavingIsFinal
 mutant pauseBeforeSend $broker/attempt.go 'case b.upstreams.notices.pause(now, current) > 0:' 'case false:' $broker TestPauseWhileConnecting
-mutant pausedUpstream $broker/notice.go 'b.upstreams.notices.setPause(now, u, n.pause)' '_ = now' $broker TestPausedUpstreamGetsNoRequests
+mutant pausedUpstream $broker/notice.go 'b.upstreams.notices.setPause(now, u, n.pause)' '_ = now' $broker 'TestPausedUpstreamGetsNoRequests|TestAllUpstreamsPaused'
 mutant departureReport $group/serve.go 'g.proposeDepartures(l, r.LeavingUpstreams)' '_ = r' $group TestReportOfAnEarlierProcessDrainsNothing
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/entry/sched/acquire.go
+++ b/internal/entry/sched/acquire.go
@@ -32,30 +32,29 @@
 // Acquire acquires a slot of a service, waiting in the scheduler's queue if necessary. It returns ErrRejected if the scheduler
 // rejects the request, ErrNoScheduler if no scheduler replies, and the context's error if the context ends first.
 func (n *Node) Acquire(ctx context.Context, service string, request SlotRequest) (s *Slot, err error) {
-	list := n.options.Upstreams(service)
-	subsets := NewSubsets(service, list)
+	d := n.directoryOf(service)
 	expires := n.options.Clock() + request.Timeout
 	if request.Upstream != 0 {
-		i := slices.IndexFunc(list, func(u Upstream) bool { return u.Number == request.Upstream })
-		if i < 0 {
+		u, ok := d.byNumber[request.Upstream]
+		if !ok {
 			return nil, &ErrNoScheduler{}
 		}
-		return n.acquireFromSubset(ctx, subsets.Of(list[i]), request)
+		return n.acquireFromSubset(ctx, d.subsets.Of(u), request)
 	}
-	ordered := subsets.order(list, request.DataCentre, request.Exclude, n.hintedWait, rand.Float64)
+	ordered := d.order(request.DataCentre, request.Exclude, n.hintedWait, rand.Float64)
 	if len(ordered) == 0 {
 		return nil, &ErrRejected{Decision: NoUpstream}
 	}
 	asked := 0
 	for len(ordered) > 1 && asked < min(maxSubsetsTried, len(ordered)) && n.hintedWait(ordered[asked]) == 0 {
-		s, err = n.acquireFromSubset(ctx, ordered[asked], subsets.forSubset(ordered[asked], request, list, expires-n.options.Clock(), true))
+		s, err = n.acquireFromSubset(ctx, ordered[asked], d.forSubset(ordered[asked], request, expires-n.options.Clock(), true))
 		if !tryNextSubset(err) {
 			return s, err
 		}
 		asked++
 	}
 	for _, sub := range n.queueCandidates(ordered) {
-		s, err = n.acquireFromSubset(ctx, sub, subsets.forSubset(sub, request, list, expires-n.options.Clock(), false))
+		s, err = n.acquireFromSubset(ctx, sub, d.forSubset(sub, request, expires-n.options.Clock(), false))
 		if _, none := err.(*ErrNoScheduler); !none {
 			return s, err
 		}
@@ -187,6 +186,7 @@
 			return
 		}
 		n.sendReplies(subset, n.scheduler(now, subset).Submit(now, h.Address, request))
+		n.scheduleTick()
 		return
 	}
 	n.send(h.Address, subset, func(p *packet) { p.Requests = append(p.Requests, request) })
@@ -207,6 +207,7 @@
 		n.sendReplies(subset, n.scheduler(now, subset).Finish(now, scheduler, r))
 		return
 	}
+	n.scheduleTick()
 	n.unacked[r.ID] = &unacked{to: scheduler, subset: subset, result: r, at: now}
 	n.sendDelayed(scheduler, subset, resultDelay, func(p *packet) { p.Results = append(p.Results, r) })
 }
--- a/internal/entry/sched/candidates.go
+++ b/internal/entry/sched/candidates.go
@@ -15,6 +15,25 @@
 	if n.isolated(now) {
 		return nil
 	}
+	var unresponsive []Host
+	for _, h := range n.rankedHosts(sub) {
+		if now < n.unresponsive[h.Address] {
+			unresponsive = append(unresponsive, h)
+			continue
+		}
+		if list = append(list, h); len(list) == maxHostsTried {
+			return list
+		}
+	}
+	list = append(list, unresponsive...)
+	return list[:min(len(list), maxHostsTried)]
+}
+
+// rankedHosts returns the hosts that may schedule a subset in order of preference, as of the last update. The mutex must be held.
+func (n *Node) rankedHosts(sub Subset) (list []Host) {
+	if list, ok := n.ranked[sub]; ok {
+		return list
+	}
 	list = slices.Clone(n.options.Hosts())
 	if sub.DataCentre != "" && slices.ContainsFunc(list, func(h Host) bool { return h.DataCentre == sub.DataCentre }) {
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.DataCentre != sub.DataCentre })
@@ -22,13 +41,11 @@
 	hash := sub.hash()
 	scores := map[string]uint64{}
 	for _, h := range list {
-		scores[h.Address] = slice.Mix(slice.HashKey(h.Name)^hash) >> 1
-		if now < n.unresponsive[h.Address] {
-			scores[h.Address] |= 1 << 63
-		}
+		scores[h.Address] = slice.Mix(slice.HashKey(h.Name) ^ hash)
 	}
 	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(scores[a.Address], scores[b.Address]) })
-	return list[:min(len(list), maxHostsTried)]
+	n.ranked[sub] = list
+	return list
 }
 
 // isolated reports whether so many hosts are unresponsive that this host's own network link is probably at fault. This host then
--- a/internal/entry/sched/node.go
+++ b/internal/entry/sched/node.go
@@ -20,6 +20,7 @@
 	pollPeriod        = 200 * time.Millisecond  // interval at which a queued request is sent again, to notice a scheduler that has failed
 	unresponsiveTime  = 1500 * time.Millisecond // how long an unresponsive host is avoided; control takes about as long to detect a failed host
 	tickPeriod        = 15 * time.Millisecond   // interval of checks for requests that cannot be served in time; a tenth of a short request
+	slowTickPeriod    = 70 * time.Millisecond   // interval while no request is queued; half of resultResendDelay
 	resultResendDelay = 140 * time.Millisecond  // covers ackDelay and the round trip, with a margin
 	maxResultSends    = 4                       // after the last, the scheduler releases the slot once the request has expired
 	maxHostsTried     = 2                       // hosts asked per subset, and subsets tried for queueing; few, because time is short
@@ -84,12 +85,19 @@
 	delayed      map[destination]*packet
 	hints        map[Subset]hint
 	nextID       uint64
+	// directories and ranked are derived from the routing table, as of the last call of Update.
+	directories map[string]*directory
+	ranked      map[Subset][]Host
+	// tickSoon is set while the next tick is due within tickPeriod; otherwise tickWake makes it so.
+	tickSoon bool
+	tickWake chan struct{}
 }
 
 // New returns a node that does not listen yet.
 func New(o Options) *Node {
 	return &Node{options: o, schedulers: map[Subset]*Scheduler{}, hints: map[Subset]hint{}, pending: map[uint64]*pending{}, unacked: map[uint64]*unacked{},
-		unresponsive: map[string]time.Duration{}, delayed: map[destination]*packet{}, nextID: rand.Uint64() >> 16}
+		unresponsive: map[string]time.Duration{}, delayed: map[destination]*packet{}, nextID: rand.Uint64() >> 16,
+		directories: map[string]*directory{}, ranked: map[Subset][]Host{}, tickWake: make(chan struct{}, 1)}
 }
 
 // Listen opens the UDP socket on the host's address.
@@ -153,6 +161,7 @@
 		replies = append(replies, scheduler.Submit(now, from, request)...)
 	}
 	n.sendReplies(p.Subset, replies)
+	n.scheduleTick()
 }
 
 // scheduler returns the scheduler of a subset. If there is none yet, it makes one with the upstreams of the current table. The
@@ -169,9 +178,26 @@
 
 // setUpstreams updates a scheduler to the upstreams of the current table.
 func (n *Node) setUpstreams(now time.Duration, sub Subset, s *Scheduler) []addressedReply {
-	list := n.options.Upstreams(sub.Service)
-	subsets := NewSubsets(sub.Service, list)
-	return s.SetUpstreams(now, subsets.Members(sub, list), 1/float64(max(subsets.Count(), 1)))
+	d := n.directory(sub.Service)
+	return s.SetUpstreams(now, d.members[sub], 1/float64(max(d.subsets.Count(), 1)))
+}
+
+// directory returns the directory of a service. The mutex must be held.
+func (n *Node) directory(service string) *directory {
+	d := n.directories[service]
+	if d == nil {
+		list := n.options.Upstreams(service)
+		d = newDirectory(NewSubsets(service, list), list)
+		n.directories[service] = d
+	}
+	return d
+}
+
+// directoryOf returns the directory of a service. The mutex must not be held.
+func (n *Node) directoryOf(service string) *directory {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.directory(service)
 }
 
 // notify passes a reply to the request of this host that waits for it. The mutex must be held.
@@ -201,22 +227,47 @@
 	}
 }
 
-// tick calls tickOnce every tickPeriod until the context ends.
+// tick runs the periodic work until the context ends: every tickPeriod while requests are queued here, and less often otherwise.
 func (n *Node) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(slowTickPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			n.tickOnce()
+		case <-n.tickWake:
+			timer.Reset(tickPeriod)
+		case <-timer.C:
+			timer.Reset(n.tickOnce())
 		}
 	}
 }
 
-// tickOnce runs the periodic work of this host's schedulers and sends unacknowledged results again.
-func (n *Node) tickOnce() {
+// scheduleTick makes the next tick due soon if requests are queued here. The mutex must be held.
+func (n *Node) scheduleTick() {
+	if n.tickSoon || !n.hasQueued() {
+		return
+	}
+	n.tickSoon = true
+	select {
+	case n.tickWake <- struct{}{}:
+	default:
+	}
+}
+
+// hasQueued reports whether a request is queued at a scheduler of this host. The mutex must be held.
+func (n *Node) hasQueued() bool {
+	for _, s := range n.schedulers {
+		if _, waiting := s.Load(); waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// tickOnce runs the periodic work of this host's schedulers and sends unacknowledged results again. It returns the time until the
+// next tick.
+func (n *Node) tickOnce() (next time.Duration) {
 	now := n.options.Clock()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -225,6 +276,15 @@
 			n.sendReplies(subset, s.Tick(now))
 		}
 	}
+	n.resendResults(now)
+	if n.tickSoon = n.hasQueued(); n.tickSoon {
+		return tickPeriod
+	}
+	return slowTickPeriod
+}
+
+// resendResults sends unacknowledged results again. The mutex must be held.
+func (n *Node) resendResults(now time.Duration) {
 	for id, u := range n.unacked {
 		if now-u.at < resultResendDelay {
 			continue
@@ -254,6 +314,8 @@
 	now := n.options.Clock()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	clear(n.directories)
+	clear(n.ranked)
 	for subset, s := range n.schedulers {
 		n.sendReplies(subset, n.setUpstreams(now, subset, s))
 		if s.Idle() {
--- a/internal/entry/sched/subset.go
+++ b/internal/entry/sched/subset.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
@@ -70,28 +69,6 @@
 	return Subset{Service: m.service, DataCentre: u.DataCentre, Index: uint16(slice.Mix(uint64(u.Number)) % uint64(count))}
 }
 
-// Members returns the upstreams in a subset.
-func (m Subsets) Members(s Subset, list []Upstream) []Upstream {
-	return slices.DeleteFunc(slices.Clone(list), func(u Upstream) bool { return m.Of(u) != s })
-}
-
-// forSubset returns a copy of a slot request for the scheduler of one subset, with the given timeout, and excluding only
-// upstreams that are in the subset. If noQueue is set, the copy asks not to be queued.
-func (m Subsets) forSubset(s Subset, request SlotRequest, list []Upstream, timeout time.Duration, noQueue bool) SlotRequest {
-	request.Timeout, request.NoQueue = timeout, noQueue || request.NoQueue
-	if len(request.Exclude) == 0 {
-		return request
-	}
-	var exclude []uint32
-	for _, u := range list {
-		if slices.Contains(request.Exclude, u.Number) && m.Of(u) == s {
-			exclude = append(exclude, u.Number)
-		}
-	}
-	request.Exclude = exclude
-	return request
-}
-
 // hint is the last report of a subset's scheduler: the time until a slot should be free, and when that was reported.
 type hint struct {
 	after time.Duration
@@ -108,44 +85,3 @@
 	}
 	return max(h.after-(now-h.at), 0)
 }
-
-// order returns the subsets that may serve a request in the order in which to ask them: by expected wait, then those in the
-// requesting host's data centre, then at random with subsets weighted by their number of slots.
-func (m Subsets) order(list []Upstream, dataCentre string, exclude []uint32, wait func(Subset) time.Duration, random func() float64) []Subset {
-	slots := map[Subset]int{}
-	for _, u := range list {
-		if !u.Draining && !slices.Contains(exclude, u.Number) {
-			slots[m.Of(u)] += max(u.Slots, 1)
-		}
-	}
-	type candidate struct {
-		subset Subset
-		wait   time.Duration
-		remote int
-		draw   float64
-	}
-	var candidates []candidate
-	for s, n := range slots {
-		c := candidate{subset: s, wait: wait(s), draw: random() / float64(n)}
-		if s.DataCentre != "" && s.DataCentre != dataCentre {
-			c.remote = 1
-		}
-		candidates = append(candidates, c)
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		switch {
-		case a.wait != b.wait:
-			return int(a.wait - b.wait)
-		case a.remote != b.remote:
-			return a.remote - b.remote
-		case a.draw < b.draw:
-			return -1
-		}
-		return 1
-	})
-	subsets := make([]Subset, len(candidates))
-	for i, c := range candidates {
-		subsets[i] = c.subset
-	}
-	return subsets
-}
--- a/internal/entry/sched/subset_test.go
+++ b/internal/entry/sched/subset_test.go
@@ -23,18 +23,19 @@
 	subsets := NewSubsets("s", list)
 	qt.Check(t, subsets.Count(), qt.Equals, 1)
 	qt.Check(t, subsets.Of(list[5]), qt.Equals, Subset{Service: "s"})
-	qt.Check(t, subsets.Members(Subset{Service: "s"}, list), qt.HasLen, singleSubsetMax)
+	qt.Check(t, newDirectory(subsets, list).members[Subset{Service: "s"}], qt.HasLen, singleSubsetMax)
 }
 
 func TestSubsetsHoldEachUpstreamOnce(t *testing.T) {
 	c := qt.New(t)
 	list := upstreamsInThreeCentres(196)
 	subsets := NewSubsets("s", list)
-	ordered := subsets.order(list, "d1", nil, func(Subset) time.Duration { return 0 }, rand.Float64)
+	d := newDirectory(subsets, list)
+	ordered := d.order("d1", nil, func(Subset) time.Duration { return 0 }, rand.Float64)
 	c.Assert(ordered, qt.HasLen, subsets.Count())
 	count := 0
 	for i, sub := range ordered {
-		members := subsets.Members(sub, list)
+		members := d.members[sub]
 		c.Check(len(members) < 2*subsetSize, qt.IsTrue)
 		count += len(members)
 		c.Check(sub.DataCentre == "d1", qt.Equals, i < 4)
@@ -52,21 +53,21 @@
 
 func TestBusySubsetsComeLast(t *testing.T) {
 	list := upstreamsInThreeCentres(106)
-	subsets := NewSubsets("s", list)
-	own := subsets.order(list, "d0", nil, func(Subset) time.Duration { return 0 }, rand.Float64)[0]
+	d := newDirectory(NewSubsets("s", list), list)
+	own := d.order("d0", nil, func(Subset) time.Duration { return 0 }, rand.Float64)[0]
 	wait := func(sub Subset) time.Duration {
 		if sub == own {
 			return time.Millisecond
 		}
 		return 0
 	}
-	ordered := subsets.order(list, "d0", nil, wait, rand.Float64)
+	ordered := d.order("d0", nil, wait, rand.Float64)
 	qt.Check(t, ordered[len(ordered)-1], qt.Equals, own)
 	var exclude []uint32
-	for _, u := range subsets.Members(own, list) {
+	for _, u := range d.members[own] {
 		exclude = append(exclude, u.Number)
 	}
-	ordered = subsets.order(list, "d0", exclude, wait, rand.Float64)
+	ordered = d.order("d0", exclude, wait, rand.Float64)
 	qt.Check(t, slices.Contains(ordered, own), qt.IsFalse)
 }
 
@@ -86,18 +87,17 @@
 // subsetReplay is the state of a replay with subsets: a scheduler for each subset, the hints that it gave and the requests that
 // it got.
 type subsetReplay struct {
-	list          []Upstream
-	subsets       Subsets
+	directory     *directory
 	schedulers    map[Subset]*Scheduler
 	hints         map[Subset]hint
 	requestCounts map[Subset]int
 	random        *rand.Rand
 }
 
-func newSubsetReplay(list []Upstream, subsets Subsets) *subsetReplay {
-	sr := &subsetReplay{list: list, subsets: subsets, schedulers: map[Subset]*Scheduler{}, hints: map[Subset]hint{}, requestCounts: map[Subset]int{}, random: rand.New(rand.NewPCG(5, 6))}
-	for _, sub := range subsets.order(list, "", nil, func(Subset) time.Duration { return 0 }, rand.Float64) {
-		sr.schedulers[sub] = newScheduler(subsets.Members(sub, list))
+func newSubsetReplay(d *directory) *subsetReplay {
+	sr := &subsetReplay{directory: d, schedulers: map[Subset]*Scheduler{}, hints: map[Subset]hint{}, requestCounts: map[Subset]int{}, random: rand.New(rand.NewPCG(5, 6))}
+	for _, sub := range d.order("", nil, func(Subset) time.Duration { return 0 }, rand.Float64) {
+		sr.schedulers[sub] = newScheduler(d.members[sub])
 	}
 	return sr
 }
@@ -105,7 +105,7 @@
 // submit asks the subsets for a slot as Node.Acquire does, and returns the subset that accepted the request.
 func (sr *subsetReplay) submit(now time.Duration, request SlotRequest) (at Subset, replies []addressedReply) {
 	wait := func(sub Subset) time.Duration { return sr.hints[sub].wait(now) }
-	ordered := sr.subsets.order(sr.list, request.DataCentre, nil, wait, sr.random.Float64)
+	ordered := sr.directory.order(request.DataCentre, nil, wait, sr.random.Float64)
 	try := func(sub Subset, noQueue bool) bool {
 		request.NoQueue = noQueue
 		sr.requestCounts[sub]++
@@ -135,8 +135,8 @@
 	for _, perSec := range []float64{1400, 2400} {
 		unavoidable := max(1-full/perSec, 0)
 		t.Run(fmt.Sprint(perSec), func(t *testing.T) {
-			single, busiestSingle := replaySubsets(newSubsetReplay(list, Subsets{service: "s", total: 1}), perSec)
-			divided, busiestSubset := replaySubsets(newSubsetReplay(list, NewSubsets("s", list)), perSec)
+			single, busiestSingle := replaySubsets(newSubsetReplay(newDirectory(Subsets{service: "s", total: 1}, list)), perSec)
+			divided, busiestSubset := replaySubsets(newSubsetReplay(newDirectory(NewSubsets("s", list), list)), perSec)
 			t.Logf("misses: one scheduler %.3f (%d slot requests), subsets %.3f (%d slot requests at the busiest)", single, busiestSingle, divided, busiestSubset)
 			qt.Check(t, divided <= single+0.02, qt.IsTrue)
 			qt.Check(t, single <= unavoidable+maxAvoidableMisses, qt.IsTrue)
