serve: a shutdown accepts the connections that wait in the kernel's queue

Connections that callers had opened, and on which they had sent requests, were reset when a stop closed the listener before they were accepted. A host with little processor time accepts late, so that there are most of them under load.

The listener is closed once no connection has been waiting for 20 ms, or after 500 ms. The accepting goroutine sets the time limit itself before each Accept, so that one that runs late still takes what waits.

TestShutdownAnswersConnectionsNotAcceptedYet (8 connections behind a gate): none answered before, all answered after.

--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -233,6 +233,43 @@
 	f.c.Assert(<-stopped, qt.IsNil)
 }
 
+// gatedListener accepts connections only while its gate is open.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+// Accept waits for the gate and for a connection.
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// TestShutdownAnswersConnectionsNotAcceptedYet checks that requests on connections that wait in the kernel's queue when a shutdown begins
+// are answered, also if the accepting goroutine runs late.
+func TestShutdownAnswersConnectionsNotAcceptedYet(t *testing.T) {
+	gate := make(chan struct{})
+	f := newFixtureWithListener(t, echo, Limits{HeaderBytes: 2000, BodyBytes: 5000, HeaderTimeout: time.Second, IdleTimeout: time.Second},
+		func(l net.Listener) net.Listener { return gatedListener{l.(*net.TCPListener), gate} })
+	var callers []*caller
+	for range 8 {
+		c := f.dial()
+		c.send(get("/x"))
+		callers = append(callers, c)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Shutdown(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	close(gate)
+	for _, c := range callers {
+		status, _, closes := c.readResponse()
+		f.c.Check([]any{status, closes}, qt.DeepEquals, []any{http.StatusOK, true})
+	}
+	f.c.Check(<-stopped, qt.IsNil)
+	_, err := net.Dial("tcp", f.address)
+	f.c.Check(err, qt.IsNotNil)
+}
+
 // TestDrainHandlesNoFurtherRequestOnBusyConnections checks that a request that arrives behind outstanding ones while the server
 // drains is not handled: the connection ends with the response before it. Otherwise a caller that always has one more request
 // in flight would keep the connection open.
--- a/internal/entry/serve/server.go
+++ b/internal/entry/serve/server.go
@@ -32,11 +32,13 @@
 	state       connState
 	bodyTimeout time.Duration
 	done        chan struct{}
+	closing     chan struct{}
+	closeOnce   sync.Once
 }
 
 // New returns a server; Serve starts it.
 func New(o Options) *Server {
-	return &Server{options: o, conns: map[*conn]struct{}{}, bodyTimeout: bodyTimeout, done: make(chan struct{})}
+	return &Server{options: o, conns: map[*conn]struct{}{}, bodyTimeout: bodyTimeout, done: make(chan struct{}), closing: make(chan struct{})}
 }
 
 // Serve accepts connections from the listener until Shutdown or Close.
@@ -46,6 +48,7 @@
 	s.listener = l
 	s.mutex.Unlock()
 	for {
+		closing := s.limitAccept(l)
 		c, err := l.Accept()
 		if err != nil {
 			select {
@@ -53,6 +56,10 @@
 				return nil
 			default:
 			}
+			if closing {
+				s.closeListener()
+				return nil
+			}
 			var temporary interface{ Temporary() bool }
 			if errors.As(err, &temporary) && temporary.Temporary() {
 				s.pauseAccept()
@@ -64,6 +71,41 @@
 	}
 }
 
+// limitAccept reports whether the server is shutting down. The next Accept then returns only connections that wait in the kernel's queue
+// or arrive within acceptTime: closing the listener would reset them, although their callers may have sent requests already.
+func (s *Server) limitAccept(l net.Listener) (closing bool) {
+	select {
+	case <-s.closing:
+	default:
+		return false
+	}
+	limited, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && limited.SetDeadline(time.Now().Add(acceptTime)) == nil
+}
+
+// Times of the last accepts of a shutdown.
+const (
+	acceptTime    = 20 * time.Millisecond  // without a new connection, after which the listener is closed
+	maxAcceptTime = 500 * time.Millisecond // after which it is closed in any case
+)
+
+// acceptPending closes the listener once no connection waits in the kernel's queue.
+func (s *Server) acceptPending(ctx context.Context) {
+	s.mutex.Lock()
+	listener := s.listener
+	s.closeOnce.Do(func() { close(s.closing) })
+	s.mutex.Unlock()
+	limited, ok := listener.(interface{ SetDeadline(time.Time) error })
+	if ok && limited.SetDeadline(time.Now()) == nil { // interrupts a pending Accept
+		select {
+		case <-s.done:
+		case <-ctx.Done():
+		case <-time.After(maxAcceptTime):
+		}
+	}
+	s.closeListener()
+}
+
 // acceptPause is the pause after a temporary error of accept, as when file descriptors run out; connections wait in the
 // kernel's backlog meanwhile.
 const acceptPause = 10 * time.Millisecond
@@ -114,8 +156,8 @@
 // when the context ends.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessage(err, "shut down callers' server") }()
-	s.closeListener()
 	s.Drain()
+	s.acceptPending(ctx)
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
 	for s.Count() > 0 {
