lease: a late report to a new leader does not release a slice

After a change of the leader a key could get a second owner while the first still held it: a new leader knew no sequence numbers, so the first report that reached it counted as the newest. A report from before the grant of a slice does not list it, which counted as its release, and the slice was granted to the next owner.

A FinishMove carries the sequence number of the announcement that it answers; the state keeps it with the upstream, and the next leader takes reports up to it for late ones.

TestLateReportToANewLeaderReleasesNothing fails without the number. Ruled out: waiting for a lease after each change of the leader, which would hold up every move by 6 s.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -199,5 +199,8 @@
 mutant pauseBeforeSend $broker/attempt.go 'case b.upstreams.notices.pause(now, current) > 0:' 'case false:' $broker TestPauseWhileConnecting
 mutant pausedUpstream $broker/notice.go 'b.upstreams.notices.setPause(now, u, n.pause)' '_ = now' $broker 'TestPausedUpstreamGetsNoRequests|TestAllUpstreamsPaused'
 mutant departureReport $group/serve.go 'g.proposeDepartures(l, r.LeavingUpstreams)' '_ = r' $group TestReportOfAnEarlierProcessDrainsNothing
+mutant acceptedBeforeClose $serve/server.go 's.acceptPending(ctx)' 's.closeListener()' $serve TestShutdownAnswersConnectionsNotAcceptedYet
+mutant lateReportToANewLeader $lease/manager.go 'max(sequence, u.GrantSequence)' 'sequence' $lease TestLateReportToANewLeaderReleasesNothing
+mutant warmConnection internal/entry/sched/place.go 'cost -= warmBonus' '_ = warmBonus' internal/entry/sched TestWarmConnectionIsPreferred
 echo "$survivors mutants survived"
 [ "$survivors" -eq 0 ]
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -114,7 +114,7 @@
 	for _, u := range s.Upstreams() {
 		if m.upstreams[u.Number] == nil {
 			sequence, _ := s.Lost(u.Name)
-			m.upstreams[u.Number] = &upstreamLease{renewedAt: now, sequence: sequence}
+			m.upstreams[u.Number] = &upstreamLease{renewedAt: now, sequence: max(sequence, u.GrantSequence)}
 		}
 	}
 	for number := range m.upstreams {
--- a/internal/control/lease/report.go
+++ b/internal/control/lease/report.go
@@ -130,7 +130,8 @@
 			continue
 		}
 		h.proposedAt = now
-		operations = append(operations, state.Operation{Kind: state.FinishMove, Service: key.service, Start: e.Start, Fence: e.Fence, To: number})
+		operations = append(operations, state.Operation{Kind: state.FinishMove, Service: key.service, Start: e.Start, Fence: e.Fence, To: number,
+			Sequence: m.upstreams[number].sequence})
 	}
 	return operations, pending
 }
--- a/internal/control/lease/report_test.go
+++ b/internal/control/lease/report_test.go
@@ -173,6 +173,34 @@
 	f.c.Assert(dropped(10*time.Second), qt.DeepEquals, []uint32{3})
 }
 
+// TestLateReportToANewLeaderReleasesNothing checks that a report from before a grant, which arrives at the next leader first, does not
+// count as a release of the slice: both upstreams would own it.
+func TestLateReportToANewLeaderReleasesNothing(t *testing.T) {
+	f := newReportFixture(t)
+	f.operate(state.Assign, 1)
+	f.announce(0, "a", 10, nil)
+	operations, _ := f.manager.FinishMovesTo(0, f.state, 1)
+	f.apply(state.Command{Plan: &state.Plan{Operations: operations}})
+	held := f.announce(0, "a", 11, nil).Grants
+	f.c.Assert(held, qt.HasLen, 1)
+	f.operate(state.BeginMove, 2)
+	data, err := f.state.Encode()
+	f.c.Assert(err, qt.IsNil)
+	f.state, err = state.Decode(data)
+	f.c.Assert(err, qt.IsNil)
+	f.manager = NewManager(NewTiming(time.Second, time.Second), 0, f.state)
+	f.announce(0, "a", 8, nil)
+	f.announce(0, "b", 3, nil)
+	_, pending := f.manager.FinishMovesTo(0, f.state, 2)
+	f.c.Check(pending, qt.IsFalse)
+	f.announce(0, "a", 12, held)
+	_, pending = f.manager.FinishMovesTo(0, f.state, 2)
+	f.c.Check(pending, qt.IsFalse)
+	f.announce(0, "a", 13, nil)
+	_, pending = f.manager.FinishMovesTo(0, f.state, 2)
+	f.c.Check(pending, qt.IsTrue)
+}
+
 // lose lets the leases of all upstreams expire and applies their removal.
 func (f *reportFixture) lose() {
 	for _, c := range f.manager.Due(time.Hour, f.state) {
--- a/internal/control/state/plan.go
+++ b/internal/control/state/plan.go
@@ -65,7 +65,7 @@
 	case BeginMove:
 		return s.beginMove(e, o.To)
 	case FinishMove:
-		return s.finishMove(e, o.To)
+		return s.finishMove(e, o.To, o.Sequence)
 	case Split:
 		return s.split(set, e, o.At)
 	case Merge:
@@ -99,10 +99,13 @@
 	return []slice.Change{{Slice: e}}
 }
 
-func (s *State) finishMove(e slice.Slice, to uint32) []slice.Change {
+func (s *State) finishMove(e slice.Slice, to uint32, sequence uint64) []slice.Change {
 	if !e.Moving() || e.Next != to {
 		return nil
 	}
+	if i, ok := s.upstreamPosition(to); ok {
+		s.upstreams[i].GrantSequence = max(s.upstreams[i].GrantSequence, sequence)
+	}
 	e.Owner, e.Next, e.Fence = to, 0, s.index
 	s.bumpGrantsVersion(to)
 	return []slice.Change{{Slice: e}}
