table: a version that changes few upstreams costs little

Only the lists of the services concerned are made anew, and homes exist only while there are services from files, the only ones whose requests go through a home.

--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -220,6 +220,11 @@
 	if !maps.Equal(got.Upstreams(), want.Upstreams()) || !slices.Equal(got.Entries(), want.Entries()) {
 		t.Fatalf("%v %v, want %v %v", got.Upstreams(), got.Entries(), want.Upstreams(), want.Entries())
 	}
+	for _, service := range []string{"s", "t"} {
+		if !slices.Equal(got.UpstreamsOf(service), want.UpstreamsOf(service)) {
+			t.Fatalf("upstreams of %s: %v, want %v", service, got.UpstreamsOf(service), want.UpstreamsOf(service))
+		}
+	}
 	for number := range want.Upstreams() {
 		home, _ := want.Home(number)
 		if other, _ := got.Home(number); other != home {
@@ -234,7 +239,9 @@
 	u, _ := h.state.UpstreamNamed(name)
 	switch rapid.IntRange(0, 6).Draw(t, "command") {
 	case 0, 1:
-		return join(name, h.index)
+		c := join(name, h.index)
+		c.JoinUpstream.Service = rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service")
+		return c
 	case 2:
 		return Command{DropUpstreams: &DropUpstreams{Numbers: []uint32{u.Number}}}
 	case 3:
--- a/internal/shared/table/homes.go
+++ b/internal/shared/table/homes.go
@@ -77,21 +77,54 @@
 }
 
 func (v *View) applyUpstreams(d Delta) {
-	v.upstreams = maps.Clone(v.upstreams)
+	v.upstreams, v.byService = maps.Clone(v.upstreams), maps.Clone(v.byService)
+	if d.Full {
+		v.byService = map[string][]Upstream{}
+	}
+	var changed []string
+	remove := func(number uint32) {
+		if u, ok := v.upstreams[number]; ok {
+			changed = append(changed, u.Service)
+			delete(v.upstreams, number)
+		}
+	}
 	for _, number := range d.RemovedUpstreams {
-		delete(v.upstreams, number)
+		remove(number)
 	}
 	for _, u := range d.Upstreams {
+		remove(u.Number)
 		v.upstreams[u.Number] = u
+		changed = append(changed, u.Service)
 	}
-	v.byService, v.unchecked = map[string][]Upstream{}, false
-	for _, number := range slices.Sorted(maps.Keys(v.upstreams)) {
-		u := v.upstreams[number]
-		v.byService[u.Service] = append(v.byService[u.Service], u)
+	slices.Sort(changed)
+	for _, service := range slices.Compact(changed) {
+		v.listService(service, d.Upstreams)
+	}
+	v.unchecked = false
+	for _, u := range v.upstreams {
 		v.unchecked = v.unchecked || !u.ChecksFence
 	}
 }
 
+// listService updates the list of a service's upstreams after upstreams were set or removed.
+func (v *View) listService(service string, set []Upstream) {
+	var list []Upstream
+	for _, u := range v.byService[service] {
+		if current, ok := v.upstreams[u.Number]; ok && current == u {
+			list = append(list, u)
+		}
+	}
+	for _, u := range set {
+		if u.Service == service && v.upstreams[u.Number] == u && !slices.Contains(list, u) {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.Number, b.Number) })
+	if v.byService[service] = list; len(list) == 0 {
+		delete(v.byService, service)
+	}
+}
+
 // mergeEntries returns the entry hosts after a delta, ordered by name.
 func mergeEntries(old []EntryHost, d Delta) []EntryHost {
 	next := slices.DeleteFunc(slices.Clone(old), func(e EntryHost) bool {
@@ -104,9 +137,18 @@
 }
 
 // updateHomes updates the homes that a delta changes: those of changed upstreams, those at changed or removed entry hosts,
-// and those for which a new entry host has the higher score.
+// and those for which a new entry host has the higher score. Without services from files no request goes through a home, and there
+// are none.
 func (v *View) updateHomes(d Delta) {
-	if !d.Full && len(d.Upstreams)+len(d.RemovedUpstreams)+len(d.Entries)+len(d.RemovedEntries) == 0 {
+	changesHosts := d.Full || len(d.Upstreams)+len(d.RemovedUpstreams)+len(d.Entries)+len(d.RemovedEntries) > 0
+	if len(v.services) == 0 {
+		v.homes = nil
+		if changesHosts {
+			v.hostsVersion = v.version
+		}
+		return
+	}
+	if !changesHosts && v.homes != nil {
 		return
 	}
 	v.hostsVersion = v.version
