agent: hosts with little processor time apply versions together

The pause between two watches is twenty times what the last version took to apply, from 15 ms as before up to 100 ms, so that a host spends at most a twentieth of its time on the table while many hosts join.

--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -29,7 +29,8 @@
 	watchWait              = time.Second            // how long control may wait for a new version before it responds
 	watchAttemptTimeout    = watchWait + 500*time.Millisecond
 	failurePause           = 50 * time.Millisecond
-	watchPause             = 15 * time.Millisecond  // between watches; versions that follow closely are applied together
+	minWatchPause          = 15 * time.Millisecond  // between watches; versions that follow closely are applied together
+	maxWatchPause          = 100 * time.Millisecond // the same on a host that takes long to apply a version
 	maxAnnouncements       = 4096                   // waiting for a renewal
 	maxResponseHold        = 160 * time.Millisecond // how long a response without changes to an announcement is held back
 	reannounceDelay        = 5 * time.Millisecond   // after which an upstream is to announce again
@@ -244,12 +245,19 @@
 			continue
 		}
 		a.noteResponse()
+		began := time.Now()
 		full = !a.apply(*delta)
-		sleep(ctx, watchPause)
+		sleep(ctx, pauseAfter(time.Since(began)))
 	}
 	return nil
 }
 
+// pauseAfter returns the pause after a version that took some time to apply. A host with little processor time applies more versions
+// together, so that it spends at most a twentieth of its time on them.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(max(20*took, minWatchPause), maxWatchPause)
+}
+
 func (a *Agent) watchRequest(full bool) (w table.Watch) {
 	view := a.options.Table.View()
 	w = table.Watch{Name: a.options.Host.Name, Version: view.Version(), Digest: view.Digest(), MaxWait: watchWait}
