--- a/internal/entry/broker/notice.go
+++ b/internal/entry/broker/notice.go
@@ -1,9 +1,11 @@
 package broker
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,16 +185,34 @@
 	return numbers, soonest
 }
 
-// count returns the number of upstreams that leave or pause.
-func (n *notices) count(now time.Duration) (unwilling int) {
+// UnwillingUpstream is an upstream that leaves, or pauses for this host: for how many milliseconds it may still be sent requests for its
+// keys, or gets none.
+type UnwillingUpstream struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Service     string `json:"service"`
+	Leaving     bool   `json:"leaving"`
+	UsableMs    int64  `json:"usableMs"`
+	PausedMs    int64  `json:"pausedMs"`
+}
+
+// list returns the upstreams in the table that leave or pause, by name.
+func (n *notices) list(now, leaveTime time.Duration) (list []UnwillingUpstream) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	for _, p := range n.processes {
-		if p.number != 0 && (p.leaving || p.pausedUntil > now) {
-			unwilling++
+	for process, p := range n.processes {
+		if p.number == 0 || !p.leaving && p.pausedUntil <= now {
+			continue
 		}
+		u := UnwillingUpstream{Name: process.Name, Incarnation: process.Incarnation, Service: p.service, Leaving: p.leaving,
+			PausedMs: max(p.pausedUntil-now, 0).Milliseconds()}
+		if p.leaving {
+			u.UsableMs = max(p.leavingAt+leaveTime-now, 0).Milliseconds()
+		}
+		list = append(list, u)
 	}
-	return unwilling
+	slices.SortFunc(list, func(a, b UnwillingUpstream) int { return cmp.Compare(a.Name, b.Name) })
+	return list
 }
 
 // update applies a new view of the table. It forgets pauses that are over, and processes that are not in the table for long.
@@ -240,8 +260,10 @@
 	}
 }
 
-// Unwilling returns the number of upstreams that leave or pause for this host.
-func (b *Broker) Unwilling() int { return b.upstreams.notices.count(b.options.Clock()) }
+// Unwilling returns the upstreams that leave, or pause for this host.
+func (b *Broker) Unwilling() []UnwillingUpstream {
+	return b.upstreams.notices.list(b.options.Clock(), b.leaveTime())
+}
 
 // maxLoggedValue is the longest part of a header field that is logged, in bytes.
 const maxLoggedValue = 40
--- a/internal/entry/broker/notice_test.go
+++ b/internal/entry/broker/notice_test.go
@@ -277,6 +277,18 @@
 	}
 }
 
+// TestUnwillingUpstreamsAreListed checks what operators see of upstreams that leave or pause.
+func TestUnwillingUpstreamsAreListed(t *testing.T) {
+	c := qt.New(t)
+	n := newNotices()
+	a, b := table.Upstream{Number: 1, Name: "a", Incarnation: 7, Service: "s"}, table.Upstream{Number: 2, Name: "b", Incarnation: 8, Service: "s"}
+	n.setPause(0, b, 2*time.Second)
+	n.leave(0, a)
+	c.Check(n.list(500*time.Millisecond, time.Second), qt.DeepEquals, []UnwillingUpstream{
+		{Name: "a", Incarnation: 7, Service: "s", Leaving: true, UsableMs: 500}, {Name: "b", Incarnation: 8, Service: "s", PausedMs: 1500}})
+	c.Check(n.list(3*time.Second, time.Second), qt.DeepEquals, []UnwillingUpstream{{Name: "a", Incarnation: 7, Service: "s", Leaving: true}})
+}
+
 // TestPauseWhileConnecting checks that a request is not sent to an upstream that asked for a pause while the connection was opened.
 func TestPauseWhileConnecting(t *testing.T) {
 	f := newFixture(t, []http.HandlerFunc{respondOK}, nil)
--- a/internal/entry/stats/recorder.go
+++ b/internal/entry/stats/recorder.go
@@ -130,12 +130,6 @@
 	rec.burn.Add(r.Service, time.Now(), brokerCategory(r))
 }
 
-// RegisterUnwilling registers a metric for the number of upstreams that leave or pause for this host, which count returns.
-func RegisterUnwilling(registry prometheus.Registerer, count func() int) {
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ebonyrill_upstreams_unwilling",
-		Help: "Upstreams that leave, or have asked this host for a pause that is not over."}, func() float64 { return float64(count()) }))
-}
-
 // Noticed counts what upstreams of a service say about themselves in their responses.
 func (rec *Recorder) Noticed(service string, n broker.Notice) {
 	rec.notices.WithLabelValues(service, string(n)).Inc()
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -81,6 +82,9 @@
 		_, waiting := d.broker.SchedulerNode().Load()
 		return float64(waiting)
 	})
+	gauge("ebonyrill_upstreams_unwilling", "Upstreams that leave, or have asked this host for a pause that is not over.", func() float64 {
+		return float64(len(d.broker.Unwilling()))
+	})
 	counter("ebonyrill_dealing_datagrams_total", "Datagrams sent to other entry hosts for slots.", func() int64 {
 		datagrams, _, _ := d.broker.SchedulerNode().Traffic()
 		return datagrams
@@ -139,16 +143,21 @@
 func (d *Daemon) serveStatus(c iris.Context) {
 	view := d.table.View()
 	busy, waiting := d.relay.Load()
+	var unwilling []broker.UnwillingUpstream
+	if d.broker != nil {
+		unwilling = d.broker.Unwilling()
+	}
 	_ = c.JSON(struct {
-		Host          string `json:"host"`
-		DataCentre    string `json:"dataCentre"`
-		TableVersion  uint64 `json:"tableVersion"`
-		ConfigVersion uint64 `json:"configVersion"`
-		Lease         bool   `json:"lease"`
-		Stopping      bool   `json:"stopping"`
-		Parked        int64  `json:"parked"`
-		Busy          int    `json:"busy"`
-		Waiting       int    `json:"waiting"`
+		Host          string                     `json:"host"`
+		DataCentre    string                     `json:"dataCentre"`
+		TableVersion  uint64                     `json:"tableVersion"`
+		ConfigVersion uint64                     `json:"configVersion"`
+		Lease         bool                       `json:"lease"`
+		Stopping      bool                       `json:"stopping"`
+		Parked        int64                      `json:"parked"`
+		Busy          int                        `json:"busy"`
+		Waiting       int                        `json:"waiting"`
+		Unwilling     []broker.UnwillingUpstream `json:"unwilling,omitempty"`
 	}{d.settings.Name(), d.settings.DataCentre(), view.Version(), view.Config().Version, d.agent.HasLease(),
-		d.stopping.Load(), d.table.Parked(), busy, waiting})
+		d.stopping.Load(), d.table.Parked(), busy, waiting, unwilling})
 }
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -12,7 +12,6 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
-	"ebonyrill.dev/ebonyrill/internal/entry/stats"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
@@ -56,7 +55,6 @@
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Headers: d.platform.HeaderNames(),
 		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable, OnLeaving: d.agent.ReportLeaving,
 		Retries: retry.Limits{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
-	stats.RegisterUnwilling(d.registry, d.broker.Unwilling)
 	d.brokerServer = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, OnRejected: d.broker.Rejected,
 		OnUnanswered: d.broker.Unanswered, OnPanic: d.broker.Panicked})
 }
