conns: idle connections of all hosts stay below what an upstream accepts

Each host kept up to 16 idle connections to an upstream, so that 295 hosts could hold 4,720 where 1,800 are accepted; upstreams reset what is beyond that, and a request on such a connection has an unknown outcome. A host now keeps its share of 0.8 of the connections that the upstream announces, at least one.

TestIdleConnectionsStayBelowTheCap, TestIdleConnectionsAreLimited.

--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -93,7 +93,16 @@
 	header.Set(names.Instance, u.Name)
 	r := j.request.HTTP
 	return &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
-		Body: j.request.Body, IDHeader: names.RequestID, ID: j.id, Idempotent: j.idempotent(), BeforeSend: func() error { return j.beforeSend(u) }}
+		Body: j.request.Body, IDHeader: names.RequestID, ID: j.id, Idempotent: j.idempotent(),
+		MaxIdle: idleConnections(u.Connections, len(j.broker.options.Table.View().Entries())), BeforeSend: func() error { return j.beforeSend(u) }}
+}
+
+// idleShare is the share of the connections which an upstream accepts that all entry hosts together keep idle.
+const idleShare = 0.8
+
+// idleConnections returns how many idle connections to an upstream one of the hosts keeps.
+func idleConnections(accepted, hosts int) int {
+	return max(int(idleShare*float64(accepted)/float64(max(hosts, 1))), 1)
 }
 
 // errWithdrawn is the cause of a request that was not sent because its upstream was removed, or had been draining for too long, when
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -384,6 +384,17 @@
 	f.c.Check(f.recorder.last().Outcome, qt.Equals, relay.Unknown)
 }
 
+// TestIdleConnectionsStayBelowTheCap checks that the idle connections of all entry hosts together leave a fifth of what an upstream
+// accepts free, as long as there is one for each host.
+func TestIdleConnectionsStayBelowTheCap(t *testing.T) {
+	for _, v := range []struct{ accepted, hosts int }{{130, 11}, {600, 95}, {1800, 295}, {130, 1}, {400, 295}} {
+		n := idleConnections(v.accepted, v.hosts)
+		qt.Check(t, n >= 1, qt.IsTrue)
+		qt.Check(t, 5*n*v.hosts <= 4*v.accepted || n == 1, qt.IsTrue, qt.Commentf("%d for %v", n, v))
+	}
+	qt.Check(t, idleConnections(130, 0), qt.Equals, 104)
+}
+
 func TestStaleOwners(t *testing.T) {
 	c := qt.New(t)
 	s := newStaleOwners()
--- a/internal/entry/conns/conns_test.go
+++ b/internal/entry/conns/conns_test.go
@@ -257,3 +257,19 @@
 	_, ok = keepAliveTimeout("")
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// TestIdleConnectionsAreLimited checks that the pool keeps as many idle connections as the call allows, and closes others.
+func TestIdleConnectionsAreLimited(t *testing.T) {
+	for limit, kept := range map[int]int{0: maxIdleConns, 2: 2, 99: maxIdleConns} {
+		p := NewPool()
+		for range maxIdleConns + 3 {
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			p.put(&Conn{raw: near, key: "k"}, limit)
+		}
+		qt.Check(t, p.idle["k"], qt.HasLen, kept)
+		for _, c := range p.idle["k"] {
+			c.Close()
+		}
+	}
+}
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -38,6 +38,8 @@
 	IDHeader   string
 	ID         string
 	Idempotent bool
+	// MaxIdle is how many idle connections to the upstream are kept, zero for the pool's own limit.
+	MaxIdle    int
 	BeforeSend func() error
 	OnHeader   func(status int, header http.Header)
 }
@@ -101,7 +103,7 @@
 	}
 	if call.BeforeSend != nil {
 		if err = call.BeforeSend(); err != nil {
-			p.put(c)
+			p.put(c, call.MaxIdle)
 			return nil, &ErrNotSent{Cause: err}
 		}
 	}
@@ -284,7 +286,7 @@
 		x.conn.Close()
 		return
 	}
-	x.pool.put(x.conn)
+	x.pool.put(x.conn, x.call.MaxIdle)
 }
 
 // keepAliveTimeout returns the time after which the upstream closes an idle connection, if its Keep-Alive header states one.
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -23,7 +23,7 @@
 	probePeriod     = time.Second            // pause before and between TCP keep-alive probes
 	probeCount      = 3                      // unacknowledged probes after which a connection is broken
 	userTimeout     = 4 * time.Second        // a connection with bytes unacknowledged for longer is broken
-	maxIdlePerHost  = 16                     // idle connections kept for one upstream process
+	maxIdleConns    = 16                     // idle connections kept for one upstream process at most
 	readBuffer      = 4 << 10                // read buffer of one connection, in bytes
 )
 
@@ -131,13 +131,17 @@
 	})
 }
 
-// put returns a connection to the pool after a completed exchange, or closes it if the pool has enough for the upstream.
-func (p *Pool) put(c *Conn) {
+// put returns a connection to the pool after a completed exchange, or closes it if the pool has enough for the upstream: the given number,
+// or maxIdleConns if that is lower or the number is zero.
+func (p *Pool) put(c *Conn, enough int) {
+	if enough <= 0 || enough > maxIdleConns {
+		enough = maxIdleConns
+	}
 	c.idleSince = time.Now()
 	c.uses++
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle[c.key]) >= maxIdlePerHost {
+	if len(p.idle[c.key]) >= enough {
 		c.Close()
 		return
 	}
