--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -247,17 +247,22 @@
 		a.noteResponse()
 		began := time.Now()
 		full = !a.apply(*delta)
-		sleep(ctx, pauseAfter(time.Since(began)))
+		sleep(ctx, pauseAfter(time.Since(began), len(a.options.Table.View().Entries())))
 	}
 	return nil
 }
 
 // pauseAfter returns the pause after a version that took some time to apply. A host with little processor time applies more versions
-// together, so that it spends at most a twentieth of its time on them.
-func pauseAfter(took time.Duration) time.Duration {
-	return min(max(20*took, minWatchPause), maxWatchPause)
+// together, so that it spends at most a twentieth of its time on them. Beyond hostsPerPause entry hosts the pause grows with their number,
+// so that the number of watches that control answers does not.
+func pauseAfter(took time.Duration, hosts int) time.Duration {
+	least := minWatchPause * time.Duration(max(hosts, hostsPerPause)) / hostsPerPause
+	return min(max(20*took, least), maxWatchPause)
 }
 
+// hostsPerPause is the number of entry hosts up to which minWatchPause applies.
+const hostsPerPause = 100
+
 func (a *Agent) watchRequest(full bool) (w table.Watch) {
 	view := a.options.Table.View()
 	w = table.Watch{Name: a.options.Host.Name, Version: view.Version(), Digest: view.Digest(), MaxWait: watchWait}
--- a/internal/entry/sched/candidates.go
+++ b/internal/entry/sched/candidates.go
@@ -29,12 +29,21 @@
 	return list[:min(len(list), maxHostsTried)]
 }
 
+// updateRanking drops the rankings that were made from another list of hosts. The mutex must be held.
+func (n *Node) updateRanking() {
+	if hosts := n.options.Hosts(); !slices.Equal(hosts, n.rankedOf) {
+		n.rankedOf = hosts
+		clear(n.ranked)
+	}
+}
+
 // rankedHosts returns the hosts that may schedule a subset in order of preference, as of the last update. The mutex must be held.
 func (n *Node) rankedHosts(sub Subset) (list []Host) {
 	if list, ok := n.ranked[sub]; ok {
 		return list
 	}
-	list = slices.Clone(n.options.Hosts())
+	n.updateRanking()
+	list = slices.Clone(n.rankedOf)
 	if sub.DataCentre != "" && slices.ContainsFunc(list, func(h Host) bool { return h.DataCentre == sub.DataCentre }) {
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.DataCentre != sub.DataCentre })
 	}
--- a/internal/entry/sched/node.go
+++ b/internal/entry/sched/node.go
@@ -88,6 +88,8 @@
 	// directories and ranked are derived from the routing table, as of the last call of Update.
 	directories map[string]*directory
 	ranked      map[Subset][]Host
+	// rankedOf is the list of hosts that ranked was made from.
+	rankedOf []Host
 	// tickSoon is set while the next tick is due within tickPeriod; otherwise tickWake makes it so.
 	tickSoon bool
 	tickWake chan struct{}
@@ -315,7 +317,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	clear(n.directories)
-	clear(n.ranked)
+	n.updateRanking()
 	for subset, s := range n.schedulers {
 		n.sendReplies(subset, n.setUpstreams(now, subset, s))
 		if s.Idle() {
