--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -195,7 +195,7 @@
 mutant lostUpstreamReturns $lease/manager.go '|| joinsAgain(s, a)' '' $lease TestLostUpstreamJoinsAgain
 mutant leftUpstreamStaysAway internal/control/state/state.go 's.setLost(d.Name, 0, false)' '_ = d' internal/control/lease TestLostUpstreamJoinsAgain
 mutant leavingInResponse $broker/notice.go 'if n.leaving && b.upstreams.notices.leave(now, u) {' 'if false {' $broker TestLeavingInAnyResponseEndsUse
-mutant leavingIsFinal $broker/notice.go 'return !p.leaving && p.pausedUntil <= now ||' 'return p.number == 0 ||' $broker TestLeavingIsFinal
+mutant leavingIsFinal $broker/notices.go 'return !p.leaving && p.pausedUntil <= now ||' 'return p.number == 0 ||' $broker TestLeavingIsFinal
 mutant pauseBeforeSend $broker/attempt.go 'case b.upstreams.notices.pause(now, current) > 0:' 'case false:' $broker TestPauseWhileConnecting
 mutant pausedUpstream $broker/notice.go 'b.upstreams.notices.setPause(now, u, n.pause)' '_ = now' $broker 'TestPausedUpstreamGetsNoRequests|TestAllUpstreamsPaused'
 mutant departureReport $group/serve.go 'g.proposeDepartures(l, r.LeavingUpstreams)' '_ = r' $group TestReportOfAnEarlierProcessDrainsNothing
