broker: few requests to an owner that rejects everything

The pause between two requests to an owner that rejects a slice doubles up to 5 s, and after three rejections in a row, for whatever slice, an upstream is tried only after such a pause until it accepts something.

Ruled out: control being late (2107 at 7.0 to 8.1 s), several attempts of one request as the only source (five of them each, but 10 upstreams with dozens of slices at six hosts).

--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -186,6 +186,9 @@
 	j.cause = "responded with status " + strconv.Itoa(got.Status)
 	load := j.reportedLoad(got)
 	notRun := got.Header.Get(names.NotRun) != "" || got.Status == http.StatusMisdirectedRequest
+	if got.Status != http.StatusMisdirectedRequest {
+		b.staleOwners.accepted(u.Number)
+	}
 	switch {
 	case notRun:
 		j.discard(got, cancel)
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -404,6 +404,9 @@
 	c.Check(s.skip(staleProbe-1, "s", h), qt.IsTrue)
 	c.Check(s.skip(staleProbe, "s", h), qt.IsFalse)
 	c.Check(s.skip(staleProbe+1, "s", h), qt.IsTrue)
+	s.add(staleProbe, "s", h)
+	c.Check(s.skip(3*staleProbe-1, "s", h), qt.IsTrue)
+	c.Check(s.skip(3*staleProbe, "s", h), qt.IsFalse)
 	moving := h
 	moving.Moving = true
 	c.Check(s.skip(10*staleProbe, "s", moving), qt.IsTrue)
@@ -412,6 +415,25 @@
 	c.Check(s.skip(staleProbe+2, "s", next), qt.IsFalse)
 }
 
+// TestAddressInUseByAnotherServiceGetsFewRequests checks that a host whose table is old sends few requests to the owner of many slices whose
+// address has another process by now: each is counted as a retry at the service of that process. It guards against a fault that
+// occurred: 434 such requests in 10 s, of which 363 were allowed.
+func TestAddressInUseByAnotherServiceGetsFewRequests(t *testing.T) {
+	c := qt.New(t)
+	s := newStaleOwners()
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		h := route.Holder{Upstream: table.Upstream{Number: 1}, Start: uint64(now/(10*time.Millisecond)) % 40, Fence: 7}
+		if !s.skip(now, "s", h) {
+			sent++
+			s.add(now, "s", h)
+		}
+	}
+	c.Check(sent <= 10, qt.IsTrue, qt.Commentf("%d", sent))
+	s.accepted(1)
+	c.Check(s.skip(10*time.Second, "s", route.Holder{Upstream: table.Upstream{Number: 1}, Start: 99}), qt.IsFalse)
+}
+
 // TestNothingIsSentToUpstreamThatLeft checks that a request is not sent if its upstream's leave time ended, or the upstream was
 // removed, while the connection was opened.
 func TestNothingIsSentToUpstreamThatLeft(t *testing.T) {
