agent: report an upstream that leaves for a minute at most

Each of 300 hosts would have repeated up to 256 upstreams every second for ten minutes after they were gone. The host itself remembers them for ten minutes; one that joins again says again that it leaves. Comments and a name besides, in lease and sched.

--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -289,8 +289,8 @@
 	return commands
 }
 
-// expired returns the upstreams whose lease has expired, with their last sequence numbers, and marks the leases as ended. An upstream that does not check
-// fencing tokens is left out until no request can reach it.
+// expired returns the upstreams whose lease has expired, with their last sequence numbers, and marks the leases as ended. An
+// upstream that does not check fencing tokens is left out until no request can reach it.
 func (m *Manager) expired(now time.Duration, s *state.State) (numbers []uint32, sequences []uint64) {
 	for _, u := range s.Upstreams() {
 		l := m.upstreams[u.Number]
--- a/internal/entry/agent/departures.go
+++ b/internal/entry/agent/departures.go
@@ -12,8 +12,8 @@
 
 // Limits of the report on upstreams that leave.
 const (
-	departureRetention = 10 * time.Minute // how long an upstream is reported at most
-	maxDepartures      = 256              // upstreams in one report
+	departureRetention = time.Minute // how long an upstream is reported at most; one that joins again says so again
+	maxDepartures      = 256         // upstreams in one report
 )
 
 // departures holds the upstreams that said in a response that they leave, until the table shows it. It is safe for concurrent use.
--- a/internal/entry/sched/candidates.go
+++ b/internal/entry/sched/candidates.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// rankedHosts returns the hosts that may schedule a subset in order of preference, as of the last update. The mutex must be held.
+// rankedHosts returns the hosts that may schedule a subset in order of preference. The ranking is kept until Update finds other hosts.
+// The mutex must be held.
 func (n *Node) rankedHosts(sub Subset) (list []Host) {
 	if list, ok := n.ranked[sub]; ok {
 		return list
--- a/internal/entry/sched/directory.go
+++ b/internal/entry/sched/directory.go
@@ -61,8 +61,8 @@
 	return func(s Subset) int { return d.slots[s] - excluded[s] }
 }
 
-// candidate is a subset that may serve a request.
-type candidate struct {
+// subsetCandidate is a subset that may serve a request, with what decides when it is asked.
+type subsetCandidate struct {
 	subset Subset
 	wait   time.Duration
 	remote int
@@ -73,19 +73,19 @@
 // requesting host's data centre, then at random with subsets weighted by their number of slots.
 func (d *directory) order(dataCentre string, exclude []uint32, wait func(Subset) time.Duration, random func() float64) []Subset {
 	slots := d.slotsWithout(exclude)
-	candidates := make([]candidate, 0, len(d.usable))
+	candidates := make([]subsetCandidate, 0, len(d.usable))
 	for _, s := range d.usable {
 		n := slots(s)
 		if n <= 0 {
 			continue
 		}
-		c := candidate{subset: s, wait: wait(s), draw: random() / float64(n)}
+		c := subsetCandidate{subset: s, wait: wait(s), draw: random() / float64(n)}
 		if s.DataCentre != "" && s.DataCentre != dataCentre {
 			c.remote = 1
 		}
 		candidates = append(candidates, c)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
+	slices.SortFunc(candidates, func(a, b subsetCandidate) int {
 		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(a.remote, b.remote), cmp.Compare(a.draw, b.draw))
 	})
 	subsets := make([]Subset, len(candidates))
