--- a/review/_standin/requests.go
+++ b/review/_standin/requests.go
@@ -89,7 +89,7 @@
 		w := &worker{id: fmt.Sprint("i-verdict", i), service: "verdicts", slots: 3, queue: 12, work: 100 * time.Millisecond, ledger: l}
 		if i == 0 {
 			w.fail = func(*http.Request) int {
-				if failing.Load() && counter.Add(1)%20 < 9 {
+				if failing.Load() && counter.Add(1)%20 < 11 {
 					return http.StatusServiceUnavailable
 				}
 				return 0
@@ -113,7 +113,7 @@
 	var broken, sent atomic.Int64
 	for c := range 16 {
 		wait.Go(func() {
-			for began := time.Now(); time.Since(began) < 8*time.Second; {
+			for began := time.Now(); time.Since(began) < 8500*time.Millisecond; {
 				a := order(s.entryAddress(c % 2))
 				runs := l.runsOf(a.id)
 				sent.Add(1)
