lease: grants never exceed the length of response that an upstream accepts

Cause: an upstream acknowledges a response of 4 KiB at most, and nothing limited what it was granted. Two upstreams own 256 slices in turn; the remaining one gets 256 ranges, as moved slices have newer fencing tokens than their neighbours, 128 of them with handover data: 7 KB. It acknowledges none of it, so the data is never dropped, and its old grants expire.

TestLastUpstreamGetsAllKeys/drained failed before (64 s, keys unowned) with a stand-in that ignores long responses, as upstreams do.

Change: announcements carry the limit. Moves are completed only as far as their grants fit; the others wait for the next announcement. Where they do not fit, adjacent slices get one fencing token (a new slice operation) and so become one range. Handover data without room for 2 s is dropped.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -200,6 +200,10 @@
 mutant pausedUpstream $broker/notice.go 'b.upstreams.notices.setPause(now, u, n.pause)' '_ = now' $broker 'TestPausedUpstreamGetsNoRequests|TestAllUpstreamsPaused'
 mutant departureReport $group/serve.go 'g.proposeDepartures(l, r.LeavingUpstreams)' '_ = r' $group TestReportOfAnEarlierProcessDrainsNothing
 mutant acceptedBeforeClose $serve/server.go 's.acceptPending(ctx)' 's.closeListener()' $serve TestShutdownAnswersConnectionsNotAcceptedYet
+mutant grantsFit $lease/limit.go 'return total <= l.bytes' 'return true' $lease TestGrantsFitInTheResponse
+mutant handoverWait $lease/finish.go 'now-d.handover.startedAt >= maxHandoverWait' 'false' $lease TestLongHandoverDataIsDropped
+mutant refence internal/control/state/plan.go 'return s.refence(e)' 'return nil' $lease TestGrantsFitInTheResponse
+mutant maxRanges internal/control/place/ranges.go 'u.ranges+more <= u.member.maxRanges' 'true' internal/control/place TestRangesAreLimited
 mutant lateReportToANewLeader $lease/manager.go 'max(sequence, u.GrantSequence)' 'sequence' $lease TestLateReportToANewLeaderReleasesNothing
 mutant warmConnection internal/entry/sched/place.go 'cost -= warmBonus' '_ = warmBonus' internal/entry/sched TestWarmConnectionIsPreferred
 echo "$survivors mutants survived"
--- a/internal/control/group/announce.go
+++ b/internal/control/group/announce.go
@@ -134,11 +134,15 @@
 // finishHandovers proposes to complete the handovers to an upstream that has just announced itself, so that entry hosts and
 // the upstream learn of them at the same time. It reports whether any is still in progress.
 func (g *Group) finishHandovers(now time.Duration, u table.Upstream) (pending bool) {
-	operations, pending := g.leader.leases.FinishMovesTo(now, g.state, u.Number)
-	if len(operations) > 0 {
-		g.proposeNoWait(state.Command{Plan: &state.Plan{Operations: operations}})
+	c := g.leader.leases.FinishMovesTo(now, g.state, u.Number)
+	if len(c.Operations) > 0 {
+		g.proposeNoWait(state.Command{Plan: &state.Plan{Operations: c.Operations}})
 	}
-	return pending
+	if c.Exceeded || c.Dropped > 0 || c.Waiting > 0 && len(c.Operations) > 0 {
+		g.options.Log.Write(events.GrantsLimited, zap.String("upstream", u.Name), zap.Uint64("version", g.state.Version()),
+			zap.Int("operations", len(c.Operations)), zap.Int("waiting", c.Waiting), zap.Int("dropped", c.Dropped), zap.Bool("exceeded", c.Exceeded))
+	}
+	return c.Pending
 }
 
 // unknownService returns why an upstream that reports its keys cannot join: its service is not a configuration item. It
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -363,7 +363,8 @@
 			ejected++
 		}
 		info := l.upstreams[u.Number]
-		members = append(members, place.NewMember(u.Number, float64(u.Slots)/l.latencyRatio(u), m, info.joinedAt, l.flapCount(u.Name)))
+		members = append(members, place.NewMember(u.Number, float64(u.Slots)/l.latencyRatio(u), m, info.joinedAt, l.flapCount(u.Name)).
+			WithMaxRanges(l.leases.MaxRanges(s, u.Number)))
 	}
 	return members
 }
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -42,6 +42,12 @@
 	sequence  uint64
 	// ackedVersion is the newest grants version that the upstream has acknowledged.
 	ackedVersion uint64
+	// limit is what the upstream accepts in one response.
+	limit responseLimit
+	// refencedAt is when FinishMovesTo last returned operations that give the upstream's slices new fencing tokens, and refencedIndex the
+	// log index of the last slice change then.
+	refencedAt    time.Duration
+	refencedIndex uint64
 	// ended is set once the upstream's removal is proposed; the lease is not renewed from then on.
 	ended bool
 }
@@ -221,7 +227,7 @@
 	if a.Reports {
 		m.applyReport(s, u, a, a.Sequence > l.sequence)
 	}
-	l.sequence, l.ackedVersion = a.Sequence, max(l.ackedVersion, a.Held)
+	l.sequence, l.ackedVersion, l.limit = a.Sequence, max(l.ackedVersion, a.Held), limitOf(a)
 	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, m.timing.lease.Milliseconds(), u.GrantsVersion
 	g.Draining = s.Drained(u)
 	switch {
--- a/internal/control/lease/report.go
+++ b/internal/control/lease/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/control/state"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -59,6 +58,11 @@
 	return append(d.without(r.From, r.To), r)
 }
 
+// covers reports whether there is handover data for any of the hashes from..to.
+func (d handoverData) covers(from, to uint64) bool {
+	return slices.ContainsFunc(d, func(r table.Release) bool { return r.From <= to && from <= r.To })
+}
+
 // without returns the handover data with the hashes from..to removed. A range that overlaps them keeps its other hashes.
 func (d handoverData) without(from, to uint64) (kept handoverData) {
 	for _, r := range d {
@@ -109,29 +113,3 @@
 	}
 	return append(parts, table.Grant{From: next, To: g.To, Fence: g.Fence})
 }
-
-// finishRetryPeriod is how long FinishMovesTo waits before it returns the same operation again. A commit takes less.
-const finishRetryPeriod = 400 * time.Millisecond
-
-// FinishMovesTo returns the operations that complete the moves of released slices to an upstream. pending reports whether there
-// are such moves, including those whose operation was returned before.
-func (m *Manager) FinishMovesTo(now time.Duration, s *state.State, number uint32) (operations []state.Operation, pending bool) {
-	for key, h := range m.handovers {
-		set, ok := s.Table(key.service)
-		if !ok {
-			continue
-		}
-		e, ok := set.StartsAt(key.start)
-		if !ok || e.Next != number || e.Fence != h.fence || !m.released(now, s, h) {
-			continue
-		}
-		pending = true
-		if h.proposedAt != 0 && now-h.proposedAt < finishRetryPeriod {
-			continue
-		}
-		h.proposedAt = now
-		operations = append(operations, state.Operation{Kind: state.FinishMove, Service: key.service, Start: e.Start, Fence: e.Fence, To: number,
-			Sequence: m.upstreams[number].sequence})
-	}
-	return operations, pending
-}
--- a/internal/control/lease/report_test.go
+++ b/internal/control/lease/report_test.go
@@ -60,7 +60,7 @@
 
 // finish completes the moves that are due to an upstream and reports whether there were any.
 func (f *reportFixture) finish(now time.Duration, number uint32) bool {
-	operations, _ := f.manager.FinishMovesTo(now, f.state, number)
+	operations := f.manager.FinishMovesTo(now, f.state, number).Operations
 	if len(operations) == 0 {
 		return false
 	}
@@ -179,7 +179,7 @@
 	f := newReportFixture(t)
 	f.operate(state.Assign, 1)
 	f.announce(0, "a", 10, nil)
-	operations, _ := f.manager.FinishMovesTo(0, f.state, 1)
+	operations := f.manager.FinishMovesTo(0, f.state, 1).Operations
 	f.apply(state.Command{Plan: &state.Plan{Operations: operations}})
 	held := f.announce(0, "a", 11, nil).Grants
 	f.c.Assert(held, qt.HasLen, 1)
@@ -191,13 +191,13 @@
 	f.manager = NewManager(NewTiming(time.Second, time.Second), 0, f.state)
 	f.announce(0, "a", 8, nil)
 	f.announce(0, "b", 3, nil)
-	_, pending := f.manager.FinishMovesTo(0, f.state, 2)
+	pending := f.manager.FinishMovesTo(0, f.state, 2).Pending
 	f.c.Check(pending, qt.IsFalse)
 	f.announce(0, "a", 12, held)
-	_, pending = f.manager.FinishMovesTo(0, f.state, 2)
+	pending = f.manager.FinishMovesTo(0, f.state, 2).Pending
 	f.c.Check(pending, qt.IsFalse)
 	f.announce(0, "a", 13, nil)
-	_, pending = f.manager.FinishMovesTo(0, f.state, 2)
+	pending = f.manager.FinishMovesTo(0, f.state, 2).Pending
 	f.c.Check(pending, qt.IsTrue)
 }
 
--- a/internal/control/place/balance.go
+++ b/internal/control/place/balance.go
@@ -55,7 +55,7 @@
 
 // moveBest moves the slice with the highest score from an upstream to the least loaded one, and reports whether it moved one.
 func (p *plan) moveBest(from *memberLoad) bool {
-	to := p.leastLoaded()
+	to := p.byLoad.first()
 	if to == from {
 		return false
 	}
@@ -79,6 +79,9 @@
 	if p.changed[i] || e.Moving() || share > p.policy.budget || load <= 0 {
 		return 0
 	}
+	if !to.allows(p.rangesGained(i, to)) || !from.allows(p.rangesLost(i)) {
+		return 0
+	}
 	if _, held := p.policy.moved[e.Start]; held {
 		return 0
 	}
--- a/internal/control/place/view.go
+++ b/internal/control/place/view.go
@@ -20,6 +20,8 @@
 	state    MemberState
 	joinedAt time.Duration
 	flaps    int
+	// maxRanges is how many separate ranges of hashes the upstream may own, zero for no limit.
+	maxRanges int
 }
 
 // MemberState tells whether an upstream may be given slices or must hand them over.
@@ -44,6 +46,12 @@
 	return Member{number: number, capacity: max(capacity, 1), state: s, joinedAt: joinedAt, flaps: flaps}
 }
 
+// WithMaxRanges returns the upstream with a limit on the number of separate ranges of hashes that it may own, zero for none.
+func (m Member) WithMaxRanges(n int) Member {
+	m.maxRanges = n
+	return m
+}
+
 func (m Member) Number() uint32 { return m.number }
 
 // HotKey is a key with a large share of a service's requests.
--- a/internal/control/place/weighted.go
+++ b/internal/control/place/weighted.go
@@ -99,7 +99,9 @@
 	target float64
 	load   float64
 	// owned holds the positions of the upstream's slices at the start of the plan.
-	owned     []int
+	owned []int
+	// ranges is the number of separate ranges of hashes that the upstream owns once all moves are completed.
+	ranges    int
 	heapIndex int
 }
 
@@ -108,9 +110,11 @@
 
 // plan is the state of one call of Weighted.Plan.
 type plan struct {
-	view      View
-	now       time.Duration
-	loads     []float64
+	view  View
+	now   time.Duration
+	loads []float64
+	// owners holds the owner of each slice once all moves are completed.
+	owners    []uint32
 	upstreams map[uint32]*memberLoad
 	ready     []*memberLoad
 	// byLoad holds the ready upstreams, the least loaded first.
@@ -156,10 +160,15 @@
 	for _, u := range p.upstreams {
 		u.target = max(u.target/max(total, 1e-9), 1e-9)
 	}
+	p.owners = make([]uint32, len(p.loads))
 	for i := range p.loads {
-		if u := p.upstreams[plannedOwner(view.set.At(i))]; u != nil {
+		p.owners[i] = plannedOwner(view.set.At(i))
+		if u := p.upstreams[p.owners[i]]; u != nil {
 			u.load += p.loads[i]
 			u.owned = append(u.owned, i)
+			if i == 0 || p.owners[i-1] != p.owners[i] {
+				u.ranges++
+			}
 		}
 	}
 	p.byLoad = newIndexedHeap(slices.Clone(p.ready), lessLoaded, func(u *memberLoad, at int) { u.heapIndex = at })
@@ -215,9 +224,6 @@
 	}
 }
 
-// leastLoaded returns the ready upstream with the lowest load relative to its target.
-func (p *plan) leastLoaded() *memberLoad { return p.byLoad.first() }
-
 func lessLoaded(a, b *memberLoad) bool {
 	if a.relative() != b.relative() {
 		return a.relative() < b.relative()
@@ -240,9 +246,12 @@
 	if !ok {
 		return
 	}
-	if from := p.upstreams[plannedOwner(e)]; from != nil {
+	if from := p.upstreams[p.owners[i]]; from != nil {
+		from.ranges += p.rangesLost(i)
 		p.addLoad(from, -p.loads[i])
 	}
+	to.ranges += p.rangesGained(i, to)
+	p.owners[i] = to.member.number
 	p.addLoad(to, p.loads[i])
 	p.changed[i] = true
 	p.policy.moved[e.Start] = p.now
@@ -265,7 +274,7 @@
 		}
 	}
 	for _, i := range p.byDescendingLoad(unowned) {
-		p.move(i, p.leastLoaded())
+		p.move(i, p.receiverOf(i))
 	}
 }
 
@@ -285,7 +294,7 @@
 	}
 	slices.Sort(positions)
 	for _, i := range p.byDescendingLoad(positions) {
-		p.move(i, p.leastLoaded())
+		p.move(i, p.receiverOf(i))
 	}
 }
 
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -82,6 +82,9 @@
 	Split
 	// Merge joins a slice with the one that follows it, if both have the same owner.
 	Merge
+	// Refence gives a slice that is not being moved a new fencing token. Adjacent slices of one owner to which it is applied in the same
+	// plan become one grant.
+	Refence
 )
 
 // Operation changes the slice of Service that starts at Start. Fence is the slice's fencing token when the operation was
--- a/internal/control/state/plan.go
+++ b/internal/control/state/plan.go
@@ -70,6 +70,8 @@
 		return s.split(set, e, o.At)
 	case Merge:
 		return s.merge(set, e)
+	case Refence:
+		return s.refence(e)
 	}
 	return nil
 }
@@ -111,6 +113,15 @@
 	return []slice.Change{{Slice: e}}
 }
 
+func (s *State) refence(e slice.Slice) []slice.Change {
+	if e.Owner == 0 || e.Moving() {
+		return nil
+	}
+	e.Fence = s.index
+	s.bumpGrantsVersion(e.Owner)
+	return []slice.Change{{Slice: e}}
+}
+
 func (s *State) split(set slice.Set, e slice.Slice, at uint64) []slice.Change {
 	position := set.Position(e.Start)
 	if at <= e.Start || at > set.Last(position) || e.Moving() || set.Len() >= maxSlicesPerService {
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -93,7 +93,7 @@
 	set, _ := h.state.Table("s")
 	e := set.At(rapid.IntRange(0, set.Len()-1).Draw(t, "slice"))
 	o := Operation{Service: "s", Start: e.Start, Fence: e.Fence, To: number()}
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0, 1:
 		return join(fmt.Sprintf("u%d", rapid.IntRange(0, 3).Draw(t, "name")), n+1)
 	case 2:
@@ -108,6 +108,8 @@
 		o.Kind, o.At = Split, rapid.Uint64().Draw(t, "at")
 	case 8:
 		o.Kind = Merge
+	case 10:
+		o.Kind = Refence
 	case 9:
 		files := []conf.File{file("s", 8)}
 		if rapid.Bool().Draw(t, "withdraw") {
@@ -118,7 +120,7 @@
 	operations := []Operation{o}
 	for i := 0; i < set.Len() && rapid.Bool().Draw(t, "more"); i++ {
 		e := set.At(i)
-		operations = append(operations, Operation{Kind: OperationKind(rapid.IntRange(1, 5).Draw(t, "kind")), Service: "s",
+		operations = append(operations, Operation{Kind: OperationKind(rapid.IntRange(1, 6).Draw(t, "kind")), Service: "s",
 			Start: e.Start, Fence: e.Fence, To: number(), At: e.Start + 1 + rapid.Uint64Range(0, 1<<58).Draw(t, "at")})
 	}
 	return Command{Plan: &Plan{Operations: operations}}
@@ -139,7 +141,7 @@
 			var operations []Operation
 			for range rapid.IntRange(1, 12).Draw(t, "count") {
 				e := set.At(rapid.IntRange(0, set.Len()-1).Draw(t, "slice"))
-				operations = append(operations, Operation{Kind: OperationKind(rapid.IntRange(1, 5).Draw(t, "kind")), Service: "s",
+				operations = append(operations, Operation{Kind: OperationKind(rapid.IntRange(1, 6).Draw(t, "kind")), Service: "s",
 					Start: e.Start, Fence: e.Fence, To: uint32(rapid.IntRange(1, 2).Draw(t, "to")), At: e.Start + 1 + rapid.Uint64Range(0, 1<<59).Draw(t, "at")})
 			}
 			index := batched.index + 1
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -29,6 +29,10 @@
 	Released []Release `cbor:"18,keyasint,omitempty" json:"released,omitempty"`
 	// WarmIn is the time until the upstream has warmed up after its start and reaches its usual speed.
 	WarmIn time.Duration `cbor:"19,keyasint,omitempty" json:"warmIn,omitempty"`
+	// GrantsLimit is how many bytes of grants the upstream accepts in one response, zero for no limit. Of these, a grant takes GrantBytes
+	// besides the digits of its fencing token and its handover data, which is encoded as a JSON string.
+	GrantsLimit int `cbor:"20,keyasint,omitempty" json:"-"`
+	GrantBytes  int `cbor:"21,keyasint,omitempty" json:"-"`
 }
 
 // Age is how long entry and control hosts have held an announcement before they passed it on, measured by their clocks.
