broker: an upstream's own 503 does not tell callers that the request did not run

Cause: an upstream states by a header that it did not run a request; to callers the statuses 408, 421, 429 and 503 state it. The broker passed on an upstream's status without regard to the second meaning.

Related paths with the same cause: the kept response of a first attempt of an idempotent request, sent when its second attempt was rejected, and long responses, which are streamed.

Evidence: TestOwnStatusIsNoRejection failed before for 408, 429, 503, both kinds of route, and a long body.

Change: such a response is replaced by 502 without the upstream's proof, reason `ambiguous`; the attempt counts as failed.

The mutant ownStatus is killed.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -204,6 +204,7 @@
 mutant handoverWait $lease/finish.go 'now-d.handover.startedAt >= maxHandoverWait' 'false' $lease TestLongHandoverDataIsDropped
 mutant refence internal/control/state/plan.go 'return s.refence(e)' 'return nil' $lease TestGrantsFitInTheResponse
 mutant maxRanges internal/control/place/ranges.go 'u.ranges+more <= u.member.maxRanges' 'true' internal/control/place TestRangesAreLimited
+mutant ownStatus internal/entry/broker/response.go 'if isRejection(got.Status) {' 'if false {' internal/entry/broker TestOwnStatusIsNoRejection
 mutant lateReportToANewLeader $lease/manager.go 'max(sequence, u.GrantSequence)' 'sequence' $lease TestLateReportToANewLeaderReleasesNothing
 mutant warmConnection internal/entry/sched/place.go 'cost -= warmBonus' '_ = warmBonus' internal/entry/sched TestWarmConnectionIsPreferred
 echo "$survivors mutants survived"
--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -224,14 +224,14 @@
 // finalResponse ends the attempt and returns the upstream's response for the caller.
 func (j *job) finalResponse(ctx context.Context, u table.Upstream, took time.Duration, load *loadReport, got *conns.Response, cancel context.CancelFunc) *serve.Response {
 	result := resultAnswered
-	if got.Status >= http.StatusInternalServerError {
+	if got.Status >= http.StatusInternalServerError || isRejection(got.Status) {
 		result = resultFailed
 	}
-	if got.Rest != nil {
+	if got.Rest != nil && !isRejection(got.Status) {
 		j.releaseSlot(u, result, took, load)
 		return j.stream(ctx, u, result, took, got, cancel)
 	}
-	defer cancel()
+	defer j.discard(got, cancel)
 	j.finishAttempt(u, result, took, load)
 	return j.passOn(got)
 }
--- a/internal/entry/broker/response.go
+++ b/internal/entry/broker/response.go
@@ -37,8 +37,22 @@
 	return &serve.Response{Status: got.Status, Header: header, Body: got.Body, Rest: got.Rest, Length: got.Length}
 }
 
-// passOn records the request as answered and returns the upstream's response, which has been read completely.
+// isRejection reports whether a status tells callers that the request did not run and will not run.
+func isRejection(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passOn records the request as answered and returns the upstream's response, which has been read completely. A response whose status
+// is that of a rejection is replaced, because the upstream may have run the request and the caller would send it again.
 func (j *job) passOn(got *conns.Response) *serve.Response {
+	if isRejection(got.Status) {
+		j.complete(http.StatusBadGateway, relay.Unknown, ReasonAmbiguous)
+		return serve.Text(http.StatusBadGateway, "the request may have run: the upstream responded with status "+strconv.Itoa(got.Status))
+	}
 	j.complete(got.Status, relay.Done, ReasonAnswered)
 	return j.callerResponse(got)
 }
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -85,6 +85,7 @@
 	ReasonPaused      Reason = "paused"
 	ReasonOverloaded  Reason = "overloaded"
 	ReasonUnanswered  Reason = "unanswered"
+	ReasonAmbiguous   Reason = "ambiguous"
 	ReasonTimeout     Reason = "timeout"
 	ReasonTruncated   Reason = "truncated"
 	ReasonCallerGone  Reason = "callerGone"
