lease: a line for an upstream that does not hold what it was granted

The logs did not lead to the cause: control wrote nothing, as the owner renewed its lease and its grants stayed the same; entry hosts wrote that the owner answered 421.

Change: the leader compares each report with the grants. 2109 names an upstream that has not listed a grant for longer than its lease. Also a test for the way in which all waiting moves fall to the next owner at once: the loss of the owner they came from.

Result: TestUnheldGrantsAreFound, TestOwnerLostWhileMovesWait pass, with the other tests of lease and group.

--- a/internal/control/lease/finish_test.go
+++ b/internal/control/lease/finish_test.go
@@ -159,6 +159,54 @@
 	f.c.Check(last.Exceeded, qt.IsTrue)
 }
 
+// TestOwnerLostWhileMovesWait guards against responses that are too long because all slices of a lost upstream go to the next owner at
+// once, also those whose moves waited for room.
+func TestOwnerLostWhileMovesWait(t *testing.T) {
+	f := newLimitedFixture(t, 4000)
+	held := f.interleave(0, "0123456789abcdef")
+	g, last := f.report(time.Second, "a", held)
+	f.c.Assert(last.Waiting > 0, qt.IsTrue)
+	f.apply(state.Command{DropUpstreams: &state.DropUpstreams{Numbers: []uint32{2}}})
+	g, last = f.report(time.Second, "a", g.Grants)
+	f.c.Check(last.Exceeded, qt.IsFalse)
+	f.c.Check(encodedLength(g.Grants) <= 4000, qt.IsTrue)
+	f.c.Check(isEverything(g.Grants), qt.IsTrue)
+}
+
+// TestUnheldGrantsAreFound checks that an upstream that renews its lease without taking what it was granted is found after a lease time,
+// once, and that one that is granted something else at each announcement is not.
+func TestUnheldGrantsAreFound(t *testing.T) {
+	found := func(f *limitedFixture, now time.Duration, holds []table.Grant) (n int, isNew bool) {
+		f.report(now, "a", holds)
+		return f.manager.UnheldGrants(now, 1)
+	}
+	t.Run("never held", func(t *testing.T) {
+		f := newLimitedFixture(t, 0)
+		f.plan(state.Assign, 1, 0, 2)
+		f.report(0, "a", nil)
+		for _, v := range []struct {
+			at    time.Duration
+			count int
+			isNew bool
+		}{{time.Second / 2, 0, false}, {time.Second, 0, false}, {2 * time.Second, 2, true}, {3 * time.Second, 2, false}} {
+			n, isNew := found(f, v.at, nil)
+			f.c.Check(n, qt.Equals, v.count)
+			f.c.Check(isNew, qt.Equals, v.isNew)
+		}
+	})
+	t.Run("new at each announcement", func(t *testing.T) {
+		f := newLimitedFixture(t, 0)
+		var held []table.Grant
+		for i := range 20 {
+			f.plan(state.Assign, 1, 2*i)
+			g, _ := f.report(time.Duration(i)*time.Second/2, "a", held)
+			held = g.Grants
+			n, _ := f.manager.UnheldGrants(time.Duration(i)*time.Second/2, 1)
+			f.c.Check(n, qt.Equals, 0)
+		}
+	})
+}
+
 // TestCompletionsFit checks, for random owners, handover data and limits, that a response never exceeds its limit unless that is reported,
 // and that every move is completed once its upstream reports what it was granted.
 func TestCompletionsFit(t *testing.T) {
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -48,6 +48,8 @@
 	// log index of the last slice change then.
 	refencedAt    time.Duration
 	refencedIndex uint64
+	// unheld tracks grants that the upstream does not report as held.
+	unheld unheldGrants
 	// ended is set once the upstream's removal is proposed; the lease is not renewed from then on.
 	ended bool
 }
@@ -226,6 +228,7 @@
 	}
 	if a.Reports {
 		m.applyReport(s, u, a, a.Sequence > l.sequence)
+		l.unheld.update(now, m.grants.ownedBy(s, u), a.Holds)
 	}
 	l.sequence, l.ackedVersion, l.limit = a.Sequence, max(l.ackedVersion, a.Held), limitOf(a)
 	g.Status, g.LeaseMillis, g.Version = table.GrantHeld, m.timing.lease.Milliseconds(), u.GrantsVersion
--- a/internal/shared/events/events.go
+++ b/internal/shared/events/events.go
@@ -78,6 +78,7 @@
 	UpstreamLeaving      = event(2106, zap.InfoLevel, LayerControl, "upstream announced that it leaves")
 	UpstreamReplaced     = event(2107, zap.InfoLevel, LayerControl, "upstreams replaced by a newer process")
 	GrantsLimited        = event(2108, zap.WarnLevel, LayerControl, "grants do not fit in the response to an upstream")
+	GrantsNotHeld        = event(2109, zap.WarnLevel, LayerControl, "upstream does not report the keys that it was granted")
 	EntryJoined          = event(2111, zap.InfoLevel, LayerControl, "entry host joined")
 	EntryLost            = event(2112, zap.WarnLevel, LayerControl, "entry host lost its lease")
 	ConfigAccepted       = event(2201, zap.InfoLevel, LayerControl, "configuration accepted")
