lease: drop only as much handover data of an upstream's own ranges as necessary

If a move out of a range splits it, the rest may exceed the response by a few bytes. So far that dropped the data of all ranges which the upstream had not reported yet. TestCompletionsFit and the other tests of the package pass.

--- a/internal/control/lease/finish.go
+++ b/internal/control/lease/finish.go
@@ -91,8 +91,8 @@
 	return due
 }
 
-// makeRoom drops handover data that does not fit in a response: that of slices which the upstream already owns, and that of moves which
-// have waited for long. It returns the number of ranges whose data was dropped.
+// makeRoom drops handover data that does not fit in a response: that of ranges which the upstream already owns, as many as necessary, and
+// that of moves which have waited for long. It returns the number of ranges whose data was dropped.
 func (m *Manager) makeRoom(now time.Duration, service string, r *room) (dropped int) {
 	drop := func(from, to uint64) {
 		if r.data.covers(from, to) {
@@ -101,10 +101,11 @@
 			dropped++
 		}
 	}
-	if !r.fits(0) {
-		for _, g := range r.owned {
-			drop(g.From, g.To)
+	for _, g := range r.owned {
+		if r.fits(0) {
+			break
 		}
+		drop(g.From, g.To)
 	}
 	for _, d := range r.due[r.most():] {
 		if now-d.handover.startedAt >= maxHandoverWait {
