lease: a released slice waits for room from when it was released

Handover data was dropped 2 s after the move had begun. An owner that first ends long requests releases the slice later than that, and its data was dropped as soon as there was no room once. The time now starts when the slice can be granted. FinishMovesTo is split.

TestLongHandoverDataIsDropped covers both ends of the time; mutants grantsFit, handoverWait, refence, maxRanges are killed; TestLastUpstreamGetsAllKeys passes.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -201,7 +201,7 @@
 mutant departureReport $group/serve.go 'g.proposeDepartures(l, r.LeavingUpstreams)' '_ = r' $group TestReportOfAnEarlierProcessDrainsNothing
 mutant acceptedBeforeClose $serve/server.go 's.acceptPending(ctx)' 's.closeListener()' $serve TestShutdownAnswersConnectionsNotAcceptedYet
 mutant grantsFit $lease/limit.go 'return total <= l.bytes' 'return true' $lease TestGrantsFitInTheResponse
-mutant handoverWait $lease/finish.go 'now-d.handover.startedAt >= maxHandoverWait' 'false' $lease TestLongHandoverDataIsDropped
+mutant handoverWait $lease/finish.go 'now-d.handover.dueSince >= maxHandoverWait' 'false' $lease TestLongHandoverDataIsDropped
 mutant refence internal/control/state/plan.go 'return s.refence(e)' 'return nil' $lease TestGrantsFitInTheResponse
 mutant maxRanges internal/control/place/ranges.go 'u.ranges+more <= u.member.maxRanges' 'true' internal/control/place TestRangesAreLimited
 mutant ownStatus internal/entry/broker/response.go 'if isRejection(got.Status) {' 'if false {' internal/entry/broker TestOwnStatusIsNoRejection
--- a/internal/control/lease/finish.go
+++ b/internal/control/lease/finish.go
@@ -13,7 +13,7 @@
 const (
 	// finishRetryPeriod is how long FinishMovesTo waits before it returns the same operation again. A commit takes less.
 	finishRetryPeriod = 400 * time.Millisecond
-	// maxHandoverWait is how long after its begin a move may wait for room for its handover data. Then the data is dropped.
+	// maxHandoverWait is how long a released slice may wait for room for its handover data. Then the data is dropped.
 	maxHandoverWait = 2 * time.Second
 	// fenceReserve is added to the log index to estimate the length of the fencing tokens that the next commands set.
 	fenceReserve = 1000
@@ -48,19 +48,12 @@
 		return c
 	}
 	r := &room{limit: l.limit, data: m.handoverData[u.Service], owned: m.grants.ownedBy(s, u), due: m.dueMoves(now, s, u), fence: s.Index() + fenceReserve}
-	fitting := len(r.due)
+	due := r.due
 	if !r.fitsAsIs() {
-		c.Dropped = m.makeRoom(now, u.Service, r)
-		fitting = r.most()
-		c.Waiting, c.Exceeded = len(r.due)-fitting, !r.fits(fitting)
-		refences := r.refences(s, u, r.joined(fitting))
-		c.Pending = c.Dropped > 0 || len(refences) > 0
-		if changed := s.LastSliceChange(); l.refencedIndex != changed || now-l.refencedAt >= finishRetryPeriod {
-			l.refencedAt, l.refencedIndex = now, changed
-			c.Operations = refences
-		}
+		c = m.makeRoom(now, s, u, r)
+		due = due[:len(due)-c.Waiting]
 	}
-	for _, d := range r.due[:fitting] {
+	for _, d := range due {
 		c.Pending = true
 		if d.handover.proposedAt != 0 && now-d.handover.proposedAt < finishRetryPeriod {
 			continue
@@ -83,17 +76,37 @@
 			continue
 		}
 		e, ok := set.StartsAt(key.start)
-		if ok && e.Next == u.Number && e.Fence == h.fence && m.released(now, s, h) {
-			due = append(due, dueMove{slice: e, handover: h})
+		if !ok || e.Next != u.Number || e.Fence != h.fence || !m.released(now, s, h) {
+			continue
 		}
+		if !h.due {
+			h.due, h.dueSince = true, now
+		}
+		due = append(due, dueMove{slice: e, handover: h})
 	}
 	slices.SortFunc(due, func(a, b dueMove) int { return cmp.Compare(a.slice.Start, b.slice.Start) })
 	return due
 }
 
-// makeRoom drops handover data that does not fit in a response: that of ranges which the upstream already owns, as many as necessary, and
-// that of moves which have waited for long. It returns the number of ranges whose data was dropped.
-func (m *Manager) makeRoom(now time.Duration, service string, r *room) (dropped int) {
+// makeRoom returns the operations that give adjacent slices of an upstream the same fencing token, and how many of the due moves have to
+// wait.
+func (m *Manager) makeRoom(now time.Duration, s *state.State, u table.Upstream, r *room) (c Completion) {
+	c.Dropped = m.dropUnfitting(now, u.Service, r)
+	fitting := r.fitting()
+	c.Waiting, c.Exceeded = len(r.due)-fitting, !r.fits(fitting)
+	refences := r.refences(s, u, r.joined(fitting))
+	c.Pending = c.Dropped > 0 || len(refences) > 0
+	l, changed := m.upstreams[u.Number], s.LastSliceChange()
+	if len(refences) > 0 && (l.refencedIndex != changed || now-l.refencedAt >= finishRetryPeriod) {
+		l.refencedAt, l.refencedIndex = now, changed
+		c.Operations = refences
+	}
+	return c
+}
+
+// dropUnfitting drops handover data that does not fit in a response: that of ranges which the upstream already owns, as many as necessary,
+// and that of moves which have waited for long. It returns the number of ranges whose data was dropped.
+func (m *Manager) dropUnfitting(now time.Duration, service string, r *room) (dropped int) {
 	drop := func(from, to uint64) {
 		if r.data.covers(from, to) {
 			m.DropHandover(service, from, to)
@@ -107,8 +120,8 @@
 		}
 		drop(g.From, g.To)
 	}
-	for _, d := range r.due[r.most():] {
-		if now-d.handover.startedAt >= maxHandoverWait {
+	for _, d := range r.due[r.fitting():] {
+		if now-d.handover.dueSince >= maxHandoverWait {
 			drop(d.slice.Start, d.handover.last)
 		}
 	}
--- a/internal/control/lease/limit.go
+++ b/internal/control/lease/limit.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -44,10 +45,7 @@
 	if text == "" {
 		return len(`""`)
 	}
-	data, err := json.Marshal(text)
-	if err != nil {
-		return len(strconv.Quote(text))
-	}
+	data, _ := json.Marshal(text) // every string has an encoding
 	return len(data)
 }
 
@@ -73,12 +71,7 @@
 
 // joinGrants returns the grants in order, with adjacent ones joined if they have the same fencing token.
 func joinGrants(grants []table.Grant) (joined []table.Grant) {
-	ordered := slices.SortedFunc(slices.Values(grants), func(a, b table.Grant) int {
-		if a.From < b.From {
-			return -1
-		}
-		return 1
-	})
+	ordered := slices.SortedFunc(slices.Values(grants), func(a, b table.Grant) int { return cmp.Compare(a.From, b.From) })
 	for _, g := range ordered {
 		if n := len(joined); n > 0 && joined[n-1].Fence == g.Fence && joined[n-1].To+1 == g.From {
 			joined[n-1].To = g.To
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -88,6 +88,9 @@
 	last uint64
 	// released is set once the owner reports that it no longer holds any part of the slice.
 	released bool
+	// due is set once the slice can be granted to the next owner, which was first seen at dueSince.
+	due      bool
+	dueSince time.Duration
 	// proposedAt is when FinishMovesTo last returned the operation that completes the move, or zero.
 	proposedAt time.Duration
 }
--- a/internal/control/lease/room.go
+++ b/internal/control/lease/room.go
@@ -26,8 +26,8 @@
 // fits reports whether the first n moves fit if all adjacent slices become one grant.
 func (r *room) fits(n int) bool { return r.limit.allows(r.data.attach(r.joined(n))) }
 
-// most returns how many moves fit if all adjacent slices become one grant.
-func (r *room) most() int {
+// fitting returns how many moves fit if all adjacent slices become one grant.
+func (r *room) fitting() int {
 	return sort.Search(len(r.due), func(n int) bool { return !r.fits(n + 1) })
 }
 
