entry: a path is routed as it was sent

Cause: the router got URL.Path, from which the parser has removed the escapes, so that %2F counted as a slash. Routing by published files had the same fault: the service, its rules, and keys in path segments.

Change: conf.SentPath gives the path with its escapes. Escapes of a segment that is a key are removed after the segment is found.

Evidence: TestRouteOfThePathAsSent failed for %2F, %2f, %69, an absolute URL and an escaped slash in the prefix.

--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -14,6 +14,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/sched"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -135,7 +136,7 @@
 	if view.Items().Router().Empty() {
 		return j.reject(ReasonNoConfig, noConfigRetryAfter)
 	}
-	match, ok := view.Items().Router().Find(r.HTTP.Host, r.HTTP.URL.Path)
+	match, ok := view.Items().Router().Find(r.HTTP.Host, conf.SentPath(r.HTTP.URL))
 	if !ok {
 		return j.clientError(http.StatusNotFound, ReasonNoRoute)
 	}
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -180,6 +180,7 @@
 			Idempotent: idempotent, Objective: 500 * time.Millisecond, Timeout: 2 * time.Second, MaxAttempts: 2, Priority: 1, Targets: targets}})
 	}
 	add("look", "/look/", true, items.Target{Service: "plain", Weight: 1})
+	add("inner", "/look/inner/", true, items.Target{Service: "keyed", Weight: 1})
 	add("sign", "/sign/", false, items.Target{Service: "plain", Weight: 1})
 	add("keep", "/keep/", true, items.Target{Service: "keyed", Weight: 1})
 	add("split", "/split/", true, items.Target{Service: "plain", Weight: 3}, items.Target{Service: "keyed", Weight: 1})
@@ -231,6 +232,36 @@
 	f.c.Check(f.recorder.last().Outcome, qt.Equals, relay.Done)
 }
 
+// TestRouteOfThePathAsSent guards against a request that reaches a service which no route names for its path, as an escaped slash counted
+// as a slash.
+func TestRouteOfThePathAsSent(t *testing.T) {
+	f := newFixture(t, []http.HandlerFunc{respondOK}, []http.HandlerFunc{respondOK})
+	routed := func(target, route string) {
+		f.c.Helper()
+		status := http.StatusOK
+		if route == "" {
+			status = http.StatusNotFound
+		}
+		f.c.Check(f.handle(target).Status, qt.Equals, status, qt.Commentf("%s", target))
+		f.c.Check(f.recorder.last().Route, qt.Equals, route, qt.Commentf("%s", target))
+	}
+	routed("/look/inner/1", "inner")
+	routed("/look/inner%2F1", "look")
+	routed("/look/inner%2f1", "look")
+	routed("/look/%69nner/1", "look")
+	routed("/look/x%2F/inner/", "look")
+	routed("/look/inner/%2F%25", "inner")
+	routed("/look/../look/inner/1", "look")
+	routed("/look//inner/1", "look")
+	routed("/look/inner;a=1/1", "look")
+	routed("/look/inner?/1", "look")
+	routed("http://h/look/inner/1", "inner")
+	routed("http://h/look/inner%2F1", "look")
+	routed("/look%2Finner/1", "")
+	routed("/l%6Fok/1", "")
+	f.c.Check(f.servers[0].requests[0].RequestURI, qt.Equals, "/look/inner%2F1")
+}
+
 // TestUpstreamFailures checks, for each way in which upstreams can fail, the response to the caller and how often the request was sent.
 // The outcome may be notRun only if it is certain that the request did not run.
 func TestUpstreamFailures(t *testing.T) {
--- a/internal/entry/relay/call.go
+++ b/internal/entry/relay/call.go
@@ -46,7 +46,7 @@
 	if view.Version() == 0 {
 		return nil, &errResponse{http.StatusServiceUnavailable, ReasonNotReady, "this host has no table yet"}
 	}
-	c = &call{service: view.ServiceFor(r.URL.Path), method: r.Method, uri: r.URL.RequestURI(), header: r.Header, body: body, arrived: time.Now()}
+	c = &call{service: view.ServiceFor(conf.SentPath(r.URL)), method: r.Method, uri: r.URL.RequestURI(), header: r.Header, body: body, arrived: time.Now()}
 	if c.service == nil {
 		return nil, &errResponse{http.StatusNotFound, ReasonNoService, "no service has a prefix of this path"}
 	}
@@ -62,7 +62,7 @@
 	if c.caller = c.service.Caller().Value(r); c.caller == "" {
 		c.caller = remoteHost(r.RemoteAddr)
 	}
-	c.handling = c.service.Handling(r.Method, r.URL.Path)
+	c.handling = c.service.Handling(r.Method, conf.SentPath(r.URL))
 	if bad = c.readID(r.Header); bad != nil {
 		return nil, bad
 	}
--- a/internal/entry/relay/handler_test.go
+++ b/internal/entry/relay/handler_test.go
@@ -126,6 +126,7 @@
 	}{
 		{"no key", "/frames", nil, 1, http.StatusBadRequest, ReasonNoKey},
 		{"no service", "/other/k", nil, 1, http.StatusNotFound, ReasonNoService},
+		{"escaped slash in the service's prefix", "/frames%2Fk/closure", nil, 1, http.StatusNotFound, ReasonNoService},
 		{"long id", "/frames/k/closure", []string{HeaderRequestID, strings.Repeat("i", 129)}, 1, http.StatusBadRequest, ReasonBadRequest},
 		{"bad attempt", "/frames/k/closure", []string{HeaderAttempt, "first"}, 1, http.StatusBadRequest, ReasonBadRequest},
 		{"bad timeout", "/frames/k/closure", []string{HeaderTimeout, "-5"}, 1, http.StatusBadRequest, ReasonBadRequest},
--- a/internal/entry/relay/hop.go
+++ b/internal/entry/relay/hop.go
@@ -12,6 +12,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/dedup"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
+	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -150,7 +151,7 @@
 		return nil, false
 	}
 	c.hash, c.caller, c.id, c.resend = hash, r.Header.Get(headerCaller), r.Header.Get(HeaderRequestID), dedup.Resend(resend)
-	c.handling = c.service.Handling(r.Method, r.URL.Path)
+	c.handling = c.service.Handling(r.Method, conf.SentPath(r.URL))
 	c.deadline = c.arrived.Add(time.Duration(millis) * time.Millisecond)
 	return c, true
 }
--- a/internal/shared/conf/conf_test.go
+++ b/internal/shared/conf/conf_test.go
@@ -115,6 +115,12 @@
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(source.Value(r), qt.Equals, want)
 	}
+	for target, want := range map[string]string{"/a%2Fb/c%2Fd": "c/d", "/a/%62": "b", "/a/100%25": "100%", "/a/b+c": "b+c"} {
+		u, err := url.Parse(target)
+		c.Assert(err, qt.IsNil)
+		source, _ := keySource(false).parse("path:2")
+		c.Check(source.Value(&http.Request{URL: u}), qt.Equals, want)
+	}
 	for _, text := range []string{"", "path:0", "path:x", "cookie:k", "header:"} {
 		_, ok := keySource(true).parse(text)
 		c.Assert(ok, qt.IsFalse)
--- a/internal/shared/conf/service.go
+++ b/internal/shared/conf/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -192,12 +193,12 @@
 	case sourceQuery:
 		return r.URL.Query().Get(k.name)
 	case sourcePath:
-		return segment(r.URL.Path, k.segment)
+		return segment(SentPath(r.URL), k.segment)
 	}
 	return ""
 }
 
-// segment returns the n-th segment of a path, counted from one, or an empty string.
+// segment returns the n-th segment of a path as sent, counted from one, without its escapes. It returns an empty string if there is none.
 func segment(path string, n int) string {
 	rest := strings.TrimPrefix(path, "/")
 	for ; n > 1; n-- {
@@ -208,6 +209,9 @@
 		rest = tail
 	}
 	part, _, _ := strings.Cut(rest, "/")
+	if unescaped, err := url.PathUnescape(part); err == nil {
+		return unescaped
+	}
 	return part
 }
 
