--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -208,7 +208,7 @@
 mutant lateReportToANewLeader $lease/report.go 'case h.reportedIn != 0 && a.Sequence > h.reportedIn || m.earlierLeasesExpired(now):' 'case true:' $lease TestLateReportToANewLeaderReleasesNothing
 mutant reportBeforeRelease $lease/report.go 'h.reportedIn != 0 && ' '' $lease TestLateReportAfterSlicesCameBackReleasesNothing
 mutant offeredTokens $lease/offer.go 'm.tokens.isNew(now, g.Fence) ||' 'true ||' $lease TestUnreportedGrantGetsANewToken
-mutant inheritedTokens $lease/offer.go 'old: index}' 'old: 0}' $lease TestUnreportedGrantGetsANewToken
+mutant inheritedTokens $lease/tokens.go 'old: index}' 'old: 0}' $lease TestUnreportedGrantGetsANewToken
 mutant moveReport internal/control/state/state.go 'if c.Removed || !c.Slice.Moving() {' 'if false {' internal/control/state TestFencesOnlyGrow
 mutant warmConnection internal/entry/sched/place.go 'cost -= warmBonus' '_ = warmBonus' internal/entry/sched TestWarmConnectionIsPreferred
 echo "$survivors mutants survived"
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -273,6 +273,11 @@
 	return l != nil && !l.ended && now-l.renewedAt < m.timing.expiry()
 }
 
+// earlierLeasesExpired reports whether all leases from earlier leaders have expired for the upstreams too.
+func (m *Manager) earlierLeasesExpired(now time.Duration) bool {
+	return now-m.startedAt >= m.timing.expiry()
+}
+
 // RecentlyRenewed reports whether the upstream has renewed its lease within half a lease time, so that it may be given slices.
 func (m *Manager) RecentlyRenewed(now time.Duration, number uint32) bool {
 	l := m.upstreams[number]
--- a/internal/control/lease/report.go
+++ b/internal/control/lease/report.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,6 +9,28 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
+// report is what an upstream lists as held, ordered by fencing token. Adjacent ranges with the same fencing token are one range.
+type report []table.Grant
+
+func newReport(holds []table.Grant) (r report) {
+	ordered := slices.SortedFunc(slices.Values(holds), func(a, b table.Grant) int {
+		return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.From, b.From))
+	})
+	for _, h := range ordered {
+		if n := len(r); n > 0 && r[n-1].Fence == h.Fence && (h.From <= r[n-1].To || h.From == r[n-1].To+1) {
+			r[n-1].To = max(r[n-1].To, h.To)
+			continue
+		}
+		r = append(r, h)
+	}
+	return r
+}
+
+// listsAll reports whether the report lists all hashes of a grant with its fencing token.
+func (r report) listsAll(g table.Grant) bool {
+	return slices.ContainsFunc(r, func(h table.Grant) bool { return h.Fence == g.Fence && h.From <= g.From && g.To <= h.To })
+}
+
 // applyReport records the slices that an upstream reports as held and as released. A slice that is being moved counts as
 // released once a new report no longer lists any part of it. An upstream sends a new report only after it has received or
 // given up the answer to the previous one, so an earlier grant of this leader can no longer reach it. A report may be older than a
