--- a/internal/control/lease/late_test.go
+++ b/internal/control/lease/late_test.go
@@ -27,16 +27,16 @@
 // lateWorld is a control group in which the leader changes at any moment, with upstreams whose reports and responses may be lost or
 // arrive late. It checks that no hash is held by two upstreams.
 type lateWorld struct {
-	t       *testing.T
-	seed    uint64
-	random  *rand.Rand
-	now     time.Duration
-	index   uint64
-	state   *state.State
-	manager *Manager
-	servers []*lateUpstream
-	late    []lateReport
-	quiet   bool // nothing fails any more
+	t         *testing.T
+	seed      uint64
+	random    *rand.Rand
+	now       time.Duration
+	index     uint64
+	state     *state.State
+	manager   *Manager
+	upstreams []*lateUpstream
+	late      []lateReport
+	quiet     bool // nothing fails any more
 }
 
 // lateReport is a report that arrives once nobody waits for its response.
@@ -61,12 +61,12 @@
 	downUntil   time.Duration
 }
 
-func newLateWorld(t *testing.T, seed uint64, servers int) *lateWorld {
+func newLateWorld(t *testing.T, seed uint64, upstreams int) *lateWorld {
 	w := &lateWorld{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), state: state.New()}
 	w.apply(state.Command{Patch: &state.Patch{Items: []items.Item{{Kind: items.KindService, Name: "s", Version: 1, Service: &items.Service{Keyed: true}}}}})
 	w.elect()
-	for i := range servers {
-		w.servers = append(w.servers, &lateUpstream{name: string(rune('a' + i)), incarnation: 1})
+	for i := range upstreams {
+		w.upstreams = append(w.upstreams, &lateUpstream{name: string(rune('a' + i)), incarnation: 1})
 	}
 	return w
 }
@@ -100,7 +100,8 @@
 	w.manager = NewManager(NewTiming(worldLease, 0), w.now, w.state)
 }
 
-// answer handles a report as the leader and returns the response. It returns false if the leader changed meanwhile.
+// answer handles a report as the leader and returns the response. It returns false if there is none, as the leader changed or a commit
+// takes longer than the upstream waits.
 func (w *lateWorld) answer(a table.Announcement) (g table.GrantResponse, ok bool) {
 	for range 20 {
 		if g = w.manager.RenewUpstream(w.now, w.state, a); g.Status == table.GrantJoining {
@@ -146,7 +147,7 @@
 
 func (w *lateWorld) step() {
 	w.now += worldStep
-	for _, u := range w.servers {
+	for _, u := range w.upstreams {
 		w.stepUpstream(u)
 	}
 	for i := 0; i < len(w.late); i++ {
@@ -269,7 +270,7 @@
 		grant table.Grant
 	}
 	var all []holder
-	for _, u := range w.servers {
+	for _, u := range w.upstreams {
 		if w.now < u.downUntil || w.now >= u.holdsUntil {
 			continue
 		}
@@ -287,7 +288,7 @@
 // checkComplete fails if a hash has no holder.
 func (w *lateWorld) checkComplete() {
 	var all []table.Grant
-	for _, u := range w.servers {
+	for _, u := range w.upstreams {
 		all = append(all, u.holds...)
 	}
 	slices.SortFunc(all, func(a, b table.Grant) int { return cmp.Compare(a.From, b.From) })
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -50,6 +50,7 @@
 	refencedIndex uint64
 	// unheld tracks grants that the upstream does not report as held.
 	unheld unheldGrants
+	// report is what the last announcement lists as held.
 	report report
 	// unproven counts the slices that TakeUnproven returns.
 	unproven int
--- a/internal/control/lease/offer.go
+++ b/internal/control/lease/offer.go
@@ -26,8 +26,9 @@
 }
 
 // AddReports sets the sequence numbers of operations that begin moves, so that the next leader knows from which report on the owner
-// has released the slice. It leaves out moves that this leader could not complete before the owner's lease from earlier leaders has
-// expired: the owner serves the slices until then.
+// has released the slice. It leaves out moves of slices with a fencing token from this leader that the owner has not reported yet.
+// Once such a move has begun, the owner is not offered the token again, so no report could list it, and the slice would stay without an
+// owner until the leases from earlier leaders have expired.
 func (m *Manager) AddReports(now time.Duration, s *state.State, operations []state.Operation) (added []state.Operation) {
 	for _, o := range operations {
 		if o.Kind == state.BeginMove {
--- a/internal/shared/conf/service.go
+++ b/internal/shared/conf/service.go
@@ -209,10 +209,11 @@
 		rest = tail
 	}
 	part, _, _ := strings.Cut(rest, "/")
-	if unescaped, err := url.PathUnescape(part); err == nil {
-		return unescaped
+	unescaped, err := url.PathUnescape(part)
+	if err != nil {
+		return part // not reached for a parsed URL, whose escapes are valid
 	}
-	return part
+	return unescaped
 }
 
 func keySource(unkeyed bool) rule[KeySource] {
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -13,7 +13,7 @@
 const MaxSkew = 50 * time.Millisecond
 
 // Upstream is one incarnation of a server that owns keys. GrantsVersion is the table version that last changed its grants,
-// ExcludedHome is the entry host that must not be its home.
+// ExcludedHome is the entry host that must not be its home. Earlier versions used the key 15 of the encoding.
 type Upstream struct {
 	Number          uint32 `cbor:"1,keyasint" json:"number"`
 	Name            string `cbor:"2,keyasint" json:"name"`
@@ -29,7 +29,6 @@
 	GrantsVersion   uint64 `cbor:"12,keyasint" json:"grantsVersion"`
 	ExcludedHome    string `cbor:"13,keyasint,omitempty" json:"excludedHome,omitempty"`
 	// Reports is set if the upstream reports the keys that it holds; its report then releases keys before the lease expires.
-	// Key 15 of the encoding was used by earlier versions.
 	Reports bool `cbor:"14,keyasint,omitempty" json:"reports,omitempty"`
 }
 
