review: a worker that is acknowledged as gone gets orders after a late ping

Cause: the deregistration of a process that is not known yet is acknowledged and recorded nowhere, so that its late ping joins it.

Workers of the stand-ins lose what they run when they stop.

--- a/review/_standin-2/ledger.go
+++ b/review/_standin-2/ledger.go
@@ -11,8 +11,9 @@
 type ledger struct {
 	record  *record
 	mutex   sync.Mutex
-	runs    map[string][]string // workers that ran a request, by its id
-	answers map[string]int      // status of the answer, by the id of the request; zero if there was none
+	runs    map[string][]string  // workers that ran a request, by its id
+	times   map[string]time.Time // when it was run last
+	answers map[string]int       // status of the answer, by the id of the request; zero if there was none
 	holders map[string][]holding
 }
 
@@ -24,7 +25,7 @@
 }
 
 func newLedger(r *record) *ledger {
-	return &ledger{record: r, runs: map[string][]string{}, answers: map[string]int{}, holders: map[string][]holding{}}
+	return &ledger{record: r, runs: map[string][]string{}, times: map[string]time.Time{}, answers: map[string]int{}, holders: map[string][]holding{}}
 }
 
 func (l *ledger) run(worker, id string) {
@@ -32,6 +33,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.runs[id] = append(l.runs[id], worker)
+	l.times[id] = time.Now()
 }
 
 func (l *ledger) answered(id string, status int) {
--- a/review/_standin-2/worker.go
+++ b/review/_standin-2/worker.go
@@ -56,23 +56,43 @@
 	waiting  int
 	slot     chan struct{}
 	listener net.Listener
+	conns    map[net.Conn]bool
 	stopped  chan struct{}
 }
 
 // start listens and begins to send heartbeats.
 func (w *worker) start() (err error) {
-	w.born, w.stopped, w.slot = time.Now().UnixMilli(), make(chan struct{}), make(chan struct{}, w.slots)
+	if err = w.listen(); err != nil {
+		return err
+	}
+	go w.beat()
+	return nil
+}
+
+// listen begins to serve requests.
+func (w *worker) listen() (err error) {
+	w.born, w.stopped, w.slot, w.conns = time.Now().UnixMilli(), make(chan struct{}), make(chan struct{}, w.slots), map[net.Conn]bool{}
 	if w.listener, err = net.Listen("tcp", w.address); err != nil {
 		return err
 	}
 	go w.serve()
-	go w.beat()
 	return nil
 }
 
+// stop ends the worker: what it is running is lost with its connections.
 func (w *worker) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	select {
+	case <-w.stopped:
+		return
+	default:
+	}
 	close(w.stopped)
 	_ = w.listener.Close()
+	for c := range w.conns {
+		_ = c.Close()
+	}
 }
 
 // heartbeatPeriod is the time between two heartbeats, as in the settings of the pages.
@@ -214,13 +234,16 @@
 		if err != nil {
 			return
 		}
+		w.mutex.Lock()
+		w.conns[c] = true
+		w.mutex.Unlock()
 		go w.serveConn(c)
 	}
 }
 
 // serveConn serves one request at a time.
 func (w *worker) serveConn(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer w.closeConn(c)
 	var writing sync.Mutex
 	reader := bufio.NewReader(c)
 	for {
@@ -261,6 +284,13 @@
 	}
 }
 
+func (w *worker) closeConn(c net.Conn) {
+	_ = c.Close()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.conns, c)
+}
+
 // handle runs a request or turns it away, and returns the answer.
 func (w *worker) handle(r *http.Request, body []byte) []byte {
 	id := r.Header.Get("Ebonyrill-Attempt-Id")
