review: case 9 no longer leaves the choice of the worker to chance

The late ping had joined the worker, but the scheduler gave all orders to the four others, which were at the limit of what they could run.

Change: the worker stands in the zone of an entry machine, the others in another zone, at 83 orders a second instead of 125. The check, its bound and the disruption are as they were.

--- a/review/_standin-2/departed.go
+++ b/review/_standin-2/departed.go
@@ -18,7 +18,7 @@
 	pingDelay  = 4 * time.Second // of the late ping; with TROUBLE=0 the ping is lost
 	servesFor  = 20 * time.Second
 	withdrawAt = 1200 * time.Millisecond
-	orderPause = 8 * time.Millisecond
+	orderPause = 12 * time.Millisecond
 )
 
 // departedWorker starts a worker that is withdrawn a second later, before any of its pings was answered: it deregisters, is
@@ -34,12 +34,12 @@
 	if status, err := s.patch(body, 15*time.Second); err != nil || status != 200 {
 		return nil, fmt.Errorf("the first config was answered %d, %v", status, err)
 	}
-	newWorker := func(i int) *worker {
+	newWorker := func(i int, zone string) *worker {
 		return &worker{record: e.record, ledger: l, controls: s.controlAddresses(), id: fmt.Sprintf("i-%04x", 0x6e70+i), service: "verdicts1",
-			address: fmt.Sprintf("%s:%d", s.address(), s.ports.front), zone: zones[i%len(zones)], slots: 3, queue: 12, work: 100 * time.Millisecond}
+			address: fmt.Sprintf("%s:%d", s.address(), s.ports.front), zone: zone, slots: 3, queue: 12, work: 100 * time.Millisecond}
 	}
 	for i := range 4 {
-		w := newWorker(i)
+		w := newWorker(i, zones[1])
 		if err = w.start(); err != nil {
 			return nil, err
 		}
@@ -49,7 +49,7 @@
 		return nil, err
 	}
 	time.Sleep(10 * time.Second)
-	departed := newWorker(9)
+	departed := newWorker(9, s.entries[1].fields["zone"].(string)) // nearer to an entry machine than the others
 	if err = departed.listen(); err != nil {
 		return nil, err
 	}
