control: a leave is acknowledged only once it is recorded, whatever the state of the process

Cause: the state could tell only of processes that had joined whether they leave. leaveAsLeader acknowledged any other without a record, and a heartbeat that arrived late joined it. Acknowledgements of draining heartbeats had the same flaw where the process was being removed, had been replaced at its address, had its heartbeats reordered, or was drained by an operator.

Change: State.HasLeft decides every acknowledgement that a process leaves, in deregistrations, heartbeats and reports of entry hosts; until it holds, the leave is proposed, and the call waits for the commit.

Why it works: a join is rejected when it is applied, so no order of a leave, a late heartbeat and a change of the leader can bring the process back, and no path can acknowledge what the state does not say.

--- a/internal/control/group/announce.go
+++ b/internal/control/group/announce.go
@@ -46,36 +46,13 @@
 
 // announcementCommitted reports whether the group has committed everything that an announcement reports.
 func announcementCommitted(a table.Announcement, g *table.GrantResponse) bool {
-	switch g.Status {
-	case table.GrantJoining:
+	switch {
+	case g.Status == table.GrantRefused:
+		return true
+	case g.Status == table.GrantJoining, a.Leaving && !g.Left:
 		return false
-	case table.GrantHeld:
-		return (!a.Leaving || g.Draining) && !g.Pending
 	}
-	return true
-}
-
-// Leave records that an upstream leaves, here or at the leader. It returns once that is committed; an unknown upstream or
-// an older incarnation is ignored.
-func (g *Group) Leave(ctx context.Context, r *oper.LeaveRequest) (_ *oper.Empty, err error) {
-	return atLeader(ctx, g, oper.Leave, r, g.leaveAsLeader)
-}
-
-func (g *Group) leaveAsLeader(ctx context.Context, r *oper.LeaveRequest) (*oper.Empty, error) {
-	incarnation, known := uint64(0), false
-	err := g.leaseRead(ctx, func(*leaderState) error {
-		_, listed := g.state.UpstreamNamed(r.Name)
-		_, lost := g.state.Lost(r.Name)
-		incarnation = g.state.NewestIncarnation(r.Name)
-		known = (listed || lost) && (r.Incarnation == 0 || r.Incarnation >= incarnation)
-		return nil
-	})
-	if err != nil || !known {
-		return &oper.Empty{}, err
-	}
-	g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", r.Name), zap.Uint64("incarnation", incarnation))
-	_, err = g.proposeAndWait(ctx, state.Command{Drain: &state.Drain{Name: r.Name, On: true, Self: true, Incarnation: incarnation}})
-	return &oper.Empty{}, err
+	return !g.Pending
 }
 
 // Patch sets and removes configuration items, here or at the leader. It returns once they are committed.
--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -37,7 +37,7 @@
 	syncedIndex  uint64                 // log index of the state at the last sync
 	pendingIndex uint64                 // log index of the last own proposal; placement waits until it is applied
 	joining      map[string]uint64      // incarnations whose join was proposed, by upstream name or entryKey
-	departing    map[table.Process]bool // upstreams whose drain was proposed because entry hosts know that they leave
+	leaving      map[table.Process]bool // processes that are proposed to be recorded as leaving
 	health       *place.Health
 	movedShare   float64         // sum of the key space shares that were moved or assigned
 	ejected      map[uint32]bool // upstreams that placement avoids for failures, by number; true once logged
@@ -90,7 +90,7 @@
 func newLeaderState(term uint64, timing lease.Timing, now time.Duration, s *state.State) *leaderState {
 	l := &leaderState{term: term, since: now, leases: lease.NewManager(timing, now, s), services: map[string]*serviceState{},
 		upstreams: map[uint32]*upstreamInfo{}, lost: map[string]lostEntry{},
-		joining: map[string]uint64{}, departing: map[table.Process]bool{}, health: place.NewHealth(), ejected: map[uint32]bool{},
+		joining: map[string]uint64{}, leaving: map[table.Process]bool{}, health: place.NewHealth(), ejected: map[uint32]bool{},
 		excludedAt: map[uint32]time.Duration{}, joinRequests: map[raft.ReplicaID]joinRequest{}, latencies: newLatencies()}
 	for _, u := range s.Upstreams() {
 		l.upstreams[u.Number] = &upstreamInfo{name: u.Name, service: u.Service, joinedAt: settledJoinTime}
@@ -161,15 +161,16 @@
 	}
 }
 
-// proposeNoWait proposes a command without waiting for it. Placement pauses until it is applied, so that no plan is made
-// from an outdated state.
-func (g *Group) proposeNoWait(c state.Command) {
+// proposeNoWait proposes a command without waiting for it, and reports whether that succeeded. Placement pauses until the command is
+// applied, so that no plan is made from an outdated state.
+func (g *Group) proposeNoWait(c state.Command) (proposed bool) {
 	index, err := g.propose(c, nil)
 	if err != nil {
 		g.options.Log.Write(events.ProposalFailed, events.Cause(err))
-		return
+		return false
 	}
 	g.leader.pendingIndex = index
+	return true
 }
 
 // sync updates the leader state after the replicated state has changed.
@@ -198,9 +199,9 @@
 		}
 	}
 	l.losses = slices.DeleteFunc(l.losses, func(x leaseLoss) bool { return now-x.at > flapWindow })
-	for p := range l.departing {
-		if s.NewestIncarnation(p.Name) != p.Incarnation {
-			delete(l.departing, p)
+	for p := range l.leaving {
+		if s.HasLeft(p) {
+			delete(l.leaving, p)
 		}
 	}
 	for name, incarnation := range l.joining {
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -112,7 +112,9 @@
 	for _, a := range r.Announcements {
 		answer.Grants = append(answer.Grants, g.renewUpstream(now, l, a))
 	}
-	g.proposeDepartures(l, r.LeavingUpstreams)
+	for _, p := range r.LeavingUpstreams {
+		g.recordLeaving(l, p, "response")
+	}
 	l.recordLoad(now, r)
 	if _, err = g.servingLeader(); err != nil {
 		return nil, err
@@ -176,26 +178,11 @@
 		g.proposeNoWait(state.Command{JoinUpstream: &table.Upstream{Name: a.Name, Incarnation: a.Incarnation,
 			Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, ChecksFence: a.ChecksFence,
 			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Reports: a.Reports}})
-	case answer.Status == table.GrantHeld && a.Leaving && !u.Leaving:
-		g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", a.Name), zap.Uint64("incarnation", a.Incarnation))
-		g.proposeNoWait(state.Command{Drain: &state.Drain{Name: a.Name, On: true, Self: true, Incarnation: a.Incarnation}})
 	}
-	return answer
-}
-
-// proposeDepartures proposes to drain the upstreams that an entry host knows to leave. One that was lost must not join again.
-func (g *Group) proposeDepartures(l *leaderState, list []table.Process) {
-	for _, p := range list {
-		u, listed := g.state.UpstreamNamed(p.Name)
-		_, lost := g.state.Lost(p.Name)
-		known := listed && u.Incarnation == p.Incarnation && !u.Leaving || lost && g.state.NewestIncarnation(p.Name) == p.Incarnation
-		if !known || l.departing[p] {
-			continue
-		}
-		l.departing[p] = true
-		g.options.Log.Write(events.UpstreamLeaving, zap.String("upstream", p.Name), zap.Uint64("incarnation", p.Incarnation), zap.String("source", "response"))
-		g.proposeNoWait(state.Command{Drain: &state.Drain{Name: p.Name, On: true, Self: true, Incarnation: p.Incarnation}})
+	if a.Leaving && answer.Status != table.GrantJoining && answer.Status != table.GrantRefused {
+		answer.Left = g.recordLeaving(l, a.Process(), "heartbeat")
 	}
+	return answer
 }
 
 // Limits on the values that an upstream may announce.
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -42,7 +42,7 @@
 }
 
 // Drain starts or ends the draining of an upstream. Self is set if the upstream itself asked for it, not an operator; Incarnation is
-// then the one that asked, or zero for every incarnation.
+// then the one that asked, whether it has joined or not, or zero for every incarnation that is listed.
 type Drain struct {
 	Name        string `cbor:"1,keyasint"`
 	On          bool   `cbor:"2,keyasint"`
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -64,8 +64,8 @@
 	return sliceTable{name: name, set: set, changedAt: index, boundsChangedAt: index, reports: map[uint64]uint64{}}
 }
 
-// knownIncarnation is the newest incarnation that joined under an upstream name, and the log index at which it joined. It
-// outlasts the upstream, so that a delayed announcement cannot bring back an older incarnation.
+// knownIncarnation is the newest incarnation that joined or left under an upstream name, and the log index at which it did. It
+// outlasts the upstream, so that a delayed announcement cannot bring back an older incarnation, or one that has left.
 type knownIncarnation struct {
 	Name        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
@@ -165,8 +165,8 @@
 	return s.Upstream(s.numberByName[name])
 }
 
-// NewestIncarnation returns the newest incarnation that has joined under the name, also if it was removed since. It returns zero
-// if none is known.
+// NewestIncarnation returns the newest incarnation that has joined or left under the name, also if it was removed since. It returns
+// zero if none is known.
 func (s *State) NewestIncarnation(name string) uint64 { return s.newestByName[name].Incarnation }
 
 // Lost reports whether the newest incarnation under the name was removed because its lease expired, and has neither left nor joined
@@ -330,8 +330,8 @@
 	return Result{Number: u.Number}
 }
 
-// setNewestIncarnation records an upstream's newest incarnation. If there are too many names, it drops the one that joined
-// longest ago.
+// setNewestIncarnation records an upstream's newest incarnation, which is not lost. If there are too many names, it drops the one that
+// joined or left longest ago.
 func (s *State) setNewestIncarnation(name string, incarnation uint64) {
 	next := knownIncarnation{Name: name, Incarnation: incarnation, At: s.index}
 	if previous, known := s.newestByName[name]; known {
@@ -411,32 +411,6 @@
 	return changes
 }
 
-func (s *State) drain(d Drain) Result {
-	var changed []uint32
-	ofIncarnation := func(incarnation uint64) bool { return !d.Self || d.Incarnation == 0 || d.Incarnation == incarnation }
-	if d.Self && d.On && ofIncarnation(s.NewestIncarnation(d.Name)) {
-		s.setLost(d.Name, 0, false)
-	}
-	for i, u := range s.upstreams {
-		if u.Name != d.Name || !ofIncarnation(u.Incarnation) {
-			continue
-		}
-		changed = append(changed, u.Number)
-		if d.Self {
-			s.upstreams[i].Leaving = d.On
-		}
-	}
-	if !d.Self {
-		s.drained = slices.DeleteFunc(s.drained, func(name string) bool { return name == d.Name })
-		if d.On {
-			s.drained = append(s.drained, d.Name)
-			slices.Sort(s.drained)
-		}
-	}
-	s.recordChange(journalEntry{upstreams: changed})
-	return Result{}
-}
-
 func (s *State) excludeHome(c ExcludeHome) Result {
 	if i, ok := s.upstreamPosition(c.Number); ok && s.upstreams[i].ExcludedHome != c.Entry {
 		s.upstreams[i].ExcludedHome = c.Entry
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -348,6 +348,66 @@
 	}
 }
 
+// TestDepartureOutlastsTheProcess guards against late announcements that make a process join after it has left: the record of a process
+// that never joined must be kept in snapshots, must not keep newer ones out, and must not grow with the number of names.
+func TestDepartureOutlastsTheProcess(t *testing.T) {
+	leave := func(name string, incarnation uint64) Command {
+		return Command{Drain: &Drain{Name: name, On: true, Self: true, Incarnation: incarnation}}
+	}
+	joins := func(t *testing.T, h *harness, incarnation uint64) bool {
+		return h.mustApply(t, join("u", incarnation)).Rejection == ""
+	}
+	t.Run("never joined", func(t *testing.T) {
+		h := newHarness()
+		h.mustApply(t, leave("u", 5))
+		qt.Check(t, h.state.HasLeft(table.Process{Name: "u", Incarnation: 5}), qt.IsTrue)
+		qt.Check(t, h.state.HasLeft(table.Process{Name: "u", Incarnation: 6}), qt.IsFalse)
+		qt.Check(t, joins(t, h, 4), qt.IsFalse)
+		qt.Check(t, joins(t, h, 5), qt.IsFalse)
+		qt.Check(t, joins(t, h, 6), qt.IsTrue)
+	})
+	t.Run("restored from a snapshot", func(t *testing.T) {
+		h := newHarness()
+		h.mustApply(t, leave("u", 5))
+		data, err := h.state.Encode()
+		qt.Assert(t, err, qt.IsNil)
+		h.state, err = Decode(data)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, joins(t, h, 5), qt.IsFalse)
+		qt.Check(t, joins(t, h, 6), qt.IsTrue)
+	})
+	t.Run("an older process is listed", func(t *testing.T) {
+		h := newHarness()
+		h.mustApply(t, join("u", 3))
+		h.mustApply(t, leave("u", 5))
+		u, _ := h.state.UpstreamNamed("u")
+		qt.Check(t, u.Leaving, qt.IsTrue)
+		qt.Check(t, joins(t, h, 5), qt.IsFalse)
+	})
+	t.Run("a newer process is listed", func(t *testing.T) {
+		h := newHarness()
+		h.mustApply(t, join("u", 7))
+		h.mustApply(t, leave("u", 5))
+		u, _ := h.state.UpstreamNamed("u")
+		qt.Check(t, u.Leaving, qt.IsFalse)
+		qt.Check(t, h.state.HasLeft(u.Process()), qt.IsFalse)
+	})
+	t.Run("among many other names", func(t *testing.T) {
+		h := newHarness()
+		number := h.mustApply(t, join("u", 5)).Number
+		for i := range maxIncarnations {
+			h.mustApply(t, leave(fmt.Sprint("other-", i), 1))
+		}
+		qt.Check(t, len(h.state.incarnations), qt.Equals, maxIncarnations)
+		qt.Check(t, len(h.state.newestByName), qt.Equals, maxIncarnations)
+		h.mustApply(t, leave("u", 5))
+		h.mustApply(t, leave("last", 1))
+		h.mustApply(t, Command{DropUpstreams: &DropUpstreams{Numbers: []uint32{number}}})
+		qt.Check(t, joins(t, h, 5), qt.IsFalse)
+		qt.Check(t, len(h.state.incarnations), qt.Equals, maxIncarnations)
+	})
+}
+
 func TestStaleOperationsAreSkipped(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness()
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -116,7 +116,7 @@
 	Items []items.Item `cbor:"1,keyasint" json:"items"`
 }
 
-// LeaveRequest announces that an upstream leaves. Incarnation zero means its current incarnation.
+// LeaveRequest announces that a process of an upstream leaves. Incarnation zero means the newest one that is known.
 type LeaveRequest struct {
 	Name        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
--- a/internal/shared/table/announce.go
+++ b/internal/shared/table/announce.go
@@ -35,6 +35,9 @@
 	GrantBytes  int `cbor:"21,keyasint,omitempty" json:"-"`
 }
 
+// Process returns the process that sent the announcement.
+func (a Announcement) Process() Process { return Process{Name: a.Name, Incarnation: a.Incarnation} }
+
 // Age is how long entry and control hosts have held an announcement before they passed it on, measured by their clocks.
 type Age time.Duration
 
@@ -108,6 +111,9 @@
 	AgainMillis int64       `cbor:"11,keyasint" json:"againMillis"`
 	// Pending means that further grants are being committed; a response made shortly after contains them.
 	Pending bool `cbor:"12,keyasint,omitempty" json:"-"`
+	// Left means that it is committed that the process leaves or has ended, so that it will get no new requests. It is set only in a
+	// response to an announcement with Leaving.
+	Left bool `cbor:"13,keyasint,omitempty" json:"-"`
 }
 
 // ErrBadResponse is returned for an invalid response to an announcement; the upstream must ignore the response.
