relay: a response without an attempt id counts only on a connection that carries one request

Callers of an upstream that checks no fencing tokens and returns no attempt ids could get the response to another request, or a rejection of an earlier send: whatever the upstream sent late on the connection was read as the next response.

Cause: such a response was accepted on any connection. Nothing tells it from a late one.

Change: such an upstream gets connections for one request each until it has returned an id, and for good once it has left one out; on other connections a response without an id has an unknown outcome.

Why it works: on a connection that carries one request, no response to another can arrive.

--- a/internal/entry/relay/local.go
+++ b/internal/entry/relay/local.go
@@ -162,7 +162,8 @@
 	attempt := strconv.FormatUint(rand.Uint64(), 36)
 	sent := &wire.WriteTracker{}
 	request := h.upstreamRequest(httptrace.WithClientTrace(ctx, sent.Trace()), c, target, deadline, attempt)
-	response, err := u.pools.of(c.handling.Idempotent).RoundTrip(request)
+	transport, single := u.transport(c.handling.Idempotent)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		defer cancel()
 		h.options.Observer.UpstreamResult(target.Upstream().Number, true)
@@ -170,7 +171,8 @@
 		h.logFailedAttempt(c, u.info.Name, u.info.Address, p, err)
 		return p
 	}
-	p := h.read(response, target, attempt, cancel)
+	u.recordEcho(response.Header.Get(HeaderAttemptID))
+	p := h.read(response, attempt, single, cancel)
 	if p.rest != nil && !bounds.Disarm() {
 		p.rest.close()
 		p = unknown(ReasonTimeout)
--- a/internal/entry/relay/response.go
+++ b/internal/entry/relay/response.go
@@ -7,8 +7,6 @@
 	"io"
 	"net/http"
 	"slices"
-
-	"ebonyrill.dev/ebonyrill/internal/entry/route"
 )
 
 // bufferedBytes is how much of a response body is buffered before any of it is sent to the caller, in bytes. As long as
@@ -17,10 +15,10 @@
 
 // read reads the upstream's response. One without the id of this attempt, or whose body ends only with the connection,
 // cannot be proven to be the complete response to this request: its connection is closed and the outcome is unknown.
-// Only upstreams that do not check fencing tokens may leave the attempt id out.
-func (h *Handler) read(response *http.Response, target route.Target, attempt string, cancel context.CancelFunc) *reply {
+// The attempt id may only be left out on a connection that carries a single request.
+func (h *Handler) read(response *http.Response, attempt string, single bool, cancel context.CancelFunc) *reply {
 	echo := response.Header.Get(HeaderAttemptID)
-	mismatched := echo != attempt && (echo != "" || target.Upstream().ChecksFence)
+	mismatched := echo != attempt && (echo != "" || !single)
 	if mismatched || !endIsDelimited(response) {
 		cancel()
 		_ = response.Body.Close()
--- a/internal/entry/relay/upstream.go
+++ b/internal/entry/relay/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/admit"
@@ -51,13 +52,22 @@
 }
 
 func newUpstreamPools(info table.Upstream) pools {
-	p := pools{idempotent: wire.NewTransport(nil, idleTimeout, info.Slots), nonIdempotent: wire.NewTransport(nil, shortIdleTimeout, info.Slots)}
-	for _, t := range []*http.Transport{p.idempotent, p.nonIdempotent} {
-		t.MaxConnsPerHost = max(1, info.Connections/2)
-		t.MaxResponseHeaderBytes = bound.MaxResponseHeader
-		t.DisableCompression = true
-	}
-	return p
+	return pools{idempotent: newUpstreamTransport(info, idleTimeout), nonIdempotent: newUpstreamTransport(info, shortIdleTimeout)}
+}
+
+func newUpstreamTransport(info table.Upstream, idle time.Duration) *http.Transport {
+	t := wire.NewTransport(nil, idle, info.Slots)
+	t.MaxConnsPerHost = max(1, info.Connections/2)
+	t.MaxResponseHeaderBytes = bound.MaxResponseHeader
+	t.DisableCompression = true
+	return t
+}
+
+// newSingleTransport returns a transport whose connections to an upstream carry one request each.
+func newSingleTransport(info table.Upstream) *http.Transport {
+	t := newUpstreamTransport(info, shortIdleTimeout)
+	t.DisableKeepAlives = true
+	return t
 }
 
 // upstream is the state that this host keeps for an upstream: its queue and its connections.
@@ -66,6 +76,49 @@
 	limit   int
 	limiter *admit.Limiter
 	pools   pools
+	// single is for connections that carry one request each.
+	single *http.Transport
+	echoes echoes
+}
+
+// echoes records whether an upstream returns the attempt ids of requests. Upstreams that do not check fencing tokens may leave them out.
+// A response without an id can be a late one to an earlier request on its connection, so it counts only on a connection that has carried
+// no other.
+type echoes struct {
+	mutex    sync.Mutex
+	returned bool
+	omitted  bool
+}
+
+// record records the attempt id in a response, and reports whether that is the first response without one.
+func (e *echoes) record(id string) (firstOmitted bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	firstOmitted = id == "" && !e.omitted
+	e.returned, e.omitted = e.returned || id != "", e.omitted || id == ""
+	return firstOmitted
+}
+
+// always reports whether all responses so far had an id, and there was one at least.
+func (e *echoes) always() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.returned && !e.omitted
+}
+
+// transport returns the connections for a request, and whether each of them carries only one.
+func (u *upstream) transport(idempotent bool) (t *http.Transport, single bool) {
+	if u.info.ChecksFence || u.echoes.always() {
+		return u.pools.of(idempotent), false
+	}
+	return u.single, true
+}
+
+// recordEcho records the attempt id in a response. If the upstream turns out to leave ids out, its idle connections are closed.
+func (u *upstream) recordEcho(id string) {
+	if !u.info.ChecksFence && u.echoes.record(id) {
+		u.pools.closeIdle()
+	}
 }
 
 // upstream returns the state of the target's upstream. When it creates one it drops those of upstreams that are no longer
@@ -78,7 +131,7 @@
 	if u == nil {
 		h.dropRemoved()
 		u = &upstream{info: info, limit: service.Queue(), limiter: admit.NewLimiter(info.Slots, service.Queue()),
-			pools: newUpstreamPools(info)}
+			pools: newUpstreamPools(info), single: newSingleTransport(info)}
 		h.upstreams[info.Number] = u
 	}
 	if u.limit != service.Queue() {
