conns: a connection carries each request id once

An upstream rejects a request for one of its keys and repeats the rejection late.

Cause: the id that tells whose response is read names the request, not the send. The request is sent to the owner of its key again under the same id, on the connection that the rejection came on, where the late copy is due next.

Evidence: without the change TestRepeatedResponseIsNotTheNextOne fails in all subtests, and TestRepeatedRejectionIsNotTheNextOne for 400, 421, 429 and 503 with "not run", on routes of both kinds.

Change: the pool gives a request only a connection that has not carried its id; a request without one gets an unused connection.

Why it works: a response with the id on that connection can only be the one to that send. The rule is in the pool, which all sends pass.

Tests changed: TestDroppedConnectionsAreNotReused and TestEndlessHeaderIsBounded sent the same id again on one connection, which no longer happens; their requests have different ids now, with the same checks. The mutant withdrawnFromLeaving named a line that had changed.

--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -159,7 +159,7 @@
 mutant lateMargin $sched/scheduler.go 'avgTimeMargin       = 1.3' 'avgTimeMargin       = 0.5' $sched TestReplayOfSubsets
 mutant noQueueRequest $sched/scheduler.go 'if r.NoQueue && (' 'if false && (' $sched TestNoQueueRequestIsNotQueued
 mutant hostBudget $broker/budget.go 'hostShare = 0.95' 'hostShare = 1.6' $broker TestRetryBudgetHoldsOverAllHosts
-mutant withdrawnFromLeaving $broker/attempt.go 'if !ok || !j.broker.mayServe(j.broker.options.Clock(), current) {' 'if false && (!ok || !j.broker.mayServe(j.broker.options.Clock(), current)) {' $broker TestNothingIsSentToUpstreamThatLeft
+mutant withdrawnFromLeaving $broker/attempt.go 'case !ok || !b.mayServe(now, current):' 'case !ok:' $broker TestNothingIsSentToUpstreamThatLeft
 mutant waitingAtStop $broker/attempt.go '0, j.broker.waitCtx)' '0, context.Background())' $broker TestStopRejectsWaitingRequests
 mutant responsesAtStop $broker/attempt.go 'retry.Bound(ctx, 0, b.serveCtx)' 'retry.Bound(ctx, 0, context.Background())' $broker TestStopAnswersEveryRequestRead
 mutant incompleteAtStop $broker/stop.go 'server.RejectIncomplete()' '_ = server' $broker TestStopAnswersEveryRequestRead
@@ -193,7 +193,13 @@
 mutant partOfAHeaderLine $serve/read.go 'err != nil && c.limited.Failure() != nil' 'false' $serve TestHeaderLineThatStopsIsNotMalformed
 mutant drainBeforeLeave $broker/stop.go 'server.Drain()' '_ = server.Drain' $broker TestStopDrainsConnectionsBeforeTheHostLeaves
 mutant lostUpstreamReturns $lease/manager.go '|| joinsAgain(s, a)' '' $lease TestLostUpstreamJoinsAgain
-mutant leftUpstreamStaysAway internal/control/state/state.go 's.setLost(d.Name, 0, false)' '_ = d' internal/control/lease TestLostUpstreamJoinsAgain
+mutant leftUpstreamStaysAway internal/control/state/drain.go 's.setNewestIncarnation(d.Name, d.Incarnation)' '_ = d' internal/control/lease TestLostUpstreamJoinsAgain
+mutant unjoinedDeparture internal/control/state/drain.go 'if d.On && (unjoined ||' 'if d.On && (' internal/control/state TestDepartureOutlastsTheProcess
+mutant acknowledgedLeave $group/announce.go 'a.Leaving && !g.Left' 'a.Leaving && false' $group TestAcknowledgedLeaveIsRecorded
+mutant idOnce $conns/carried.go '!slices.Contains(l.hashes, maphash.String(idSeed, id))' '!slices.Contains(l.hashes, 0)' $conns TestRepeatedResponseIsNotTheNextOne
+mutant idOnceInBroker $conns/carried.go '!slices.Contains(l.hashes, maphash.String(idSeed, id))' '!slices.Contains(l.hashes, 0)' $broker TestRepeatedRejectionIsNotTheNextOne
+mutant boundedIDs $conns/pool.go 'c.carried.full() || ' '' $conns TestConnectionCarriesLimitedRequests
+mutant singleWithoutID $relay/upstream.go 'return u.single, true' 'return u.pools.of(idempotent), true' $relay TestRepeatedResponseWithoutID
 mutant leavingInResponse $broker/notice.go 'if n.leaving && b.upstreams.notices.leave(now, u) {' 'if false {' $broker TestLeavingInAnyResponseEndsUse
 mutant leavingIsFinal $broker/notices.go 'return !p.leaving && p.pausedUntil <= now ||' 'return p.number == 0 ||' $broker TestLeavingIsFinal
 mutant pauseBeforeSend $broker/attempt.go 'case b.upstreams.notices.pause(now, current) > 0:' 'case false:' $broker TestPauseWhileConnecting
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -183,6 +183,7 @@
 	add("inner", "/look/inner/", true, items.Target{Service: "keyed", Weight: 1})
 	add("sign", "/sign/", false, items.Target{Service: "plain", Weight: 1})
 	add("keep", "/keep/", true, items.Target{Service: "keyed", Weight: 1})
+	add("order", "/sign/keyed/", false, items.Target{Service: "keyed", Weight: 1})
 	add("split", "/split/", true, items.Target{Service: "plain", Weight: 3}, items.Target{Service: "keyed", Weight: 1})
 	return append(list, items.Item{Kind: items.KindService, Name: "plain", Version: 1, Service: &items.Service{}},
 		items.Item{Kind: items.KindService, Name: "keyed", Version: 1, Service: &items.Service{Keyed: true}})
--- a/internal/entry/conns/endless_test.go
+++ b/internal/entry/conns/endless_test.go
@@ -146,7 +146,7 @@
 				p, read := countingPool(8 << 20)
 				e := newEndlessUpstream(t, reused, v.text, v.pattern, 0)
 				if reused {
-					_, err := p.Do(context.Background(), call(e.address, "a"))
+					_, err := p.Do(context.Background(), call(e.address, "before"))
 					qt.Assert(t, err, qt.IsNil)
 				}
 				before := read.Load()
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -25,7 +25,7 @@
 )
 
 // Call is one request to an upstream. Key identifies the upstream process. ID is the value of the header field IDHeader, which the
-// response must repeat. BeforeSend, if set, is called once there is a connection, before the first byte is sent; if it returns an
+// response must repeat; calls with the same ID use different connections. BeforeSend, if set, is called once there is a connection, before the first byte is sent; if it returns an
 // error, the request is not sent. OnHeader, if set, is called with the status and header of the response when they have been read.
 type Call struct {
 	Key        string
@@ -94,7 +94,7 @@
 	if !call.Idempotent {
 		maxIdle = maxIdleUnsafe
 	}
-	c, err := p.get(ctx, call.Key, call.Address, maxIdle)
+	c, err := p.get(ctx, call, maxIdle)
 	if err != nil {
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
@@ -107,6 +107,7 @@
 			return nil, &ErrNotSent{Cause: err}
 		}
 	}
+	c.carried.add(call.ID)
 	x := &exchange{pool: p, conn: c, call: call, reused: c.uses > 0}
 	x.stopWatching = context.AfterFunc(ctx, func() {
 		x.interrupted.Store(true)
--- a/internal/entry/conns/idle_test.go
+++ b/internal/entry/conns/idle_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -47,8 +48,8 @@
 	})
 	p := NewPool()
 	failures := 0
-	for range 6 {
-		_, err := p.Do(context.Background(), call(u.address, "a"))
+	for i := range 6 {
+		_, err := p.Do(context.Background(), call(u.address, "a"+strconv.Itoa(i)))
 		if err != nil {
 			failures++
 		}
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +39,7 @@
 	maxIdle   time.Duration
 	idleTime  time.Duration
 	uses      int
+	carried   carried
 }
 
 // Pool keeps idle connections by upstream process; it is safe for concurrent use.
@@ -61,14 +63,14 @@
 	return p.dials, p.reuses
 }
 
-// get returns an idle connection, or a new one if there is none that appears usable. The key identifies the upstream process, so that a
-// connection to an earlier process at the same address is never used for a later one. Connections that have been idle for longer than
-// maxIdle are closed and not used.
-func (p *Pool) get(ctx context.Context, key, address string, maxIdle time.Duration) (c *Conn, err error) {
+// get returns an idle connection that may carry the call's id, or a new one if there is none that appears usable. The call's key
+// identifies the upstream process, so that a connection to an earlier process at the same address is never used for a later one.
+// Connections that have been idle for longer than maxIdle are closed and not used.
+func (p *Pool) get(ctx context.Context, call *Call, maxIdle time.Duration) (c *Conn, err error) {
 	for {
-		c = p.takeIdle(key)
+		c = p.takeIdle(call.Key, call.ID)
 		if c == nil {
-			return p.dial(ctx, key, address)
+			return p.dial(ctx, call.Key, call.Address)
 		}
 		c.idleTime = time.Since(c.idleSince)
 		if c.idleTime < min(c.maxIdle, maxIdle) && p.idleAllowed(c.idleTime) && c.quiet() {
@@ -81,17 +83,19 @@
 	}
 }
 
-// takeIdle removes and returns the connection to an upstream that was used last, or nil if there is none.
-func (p *Pool) takeIdle(key string) *Conn {
+// takeIdle removes and returns the connection to an upstream that was used last of those that may carry a request with the id, or nil if
+// there is none.
+func (p *Pool) takeIdle(key, id string) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.carried.allows(id) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, key, address string) (c *Conn, err error) {
@@ -131,8 +135,8 @@
 	})
 }
 
-// put returns a connection to the pool after a completed exchange, or closes it if the pool has enough for the upstream: the given number,
-// or maxIdleConns if that is lower or the number is zero.
+// put returns a connection to the pool after a completed exchange, or closes it if it may carry no more requests or the pool has enough
+// for the upstream: the given number, or maxIdleConns if that is lower or the number is zero.
 func (p *Pool) put(c *Conn, enough int) {
 	if enough <= 0 || enough > maxIdleConns {
 		enough = maxIdleConns
@@ -141,7 +145,7 @@
 	c.uses++
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle[c.key]) >= enough {
+	if c.carried.full() || len(p.idle[c.key]) >= enough {
 		c.Close()
 		return
 	}
