control: a deregistration that does not tell which process leaves is recorded too

Cause: without an incarnation, only a process that is listed or was lost could be meant.

Change: such a message for an id without a listed or lost process is recorded for every process that had started when it arrived, by the clock of the control host that received it. Newer processes join.

--- a/internal/control/group/departure_test.go
+++ b/internal/control/group/departure_test.go
@@ -91,6 +91,16 @@
 	})
 }
 
+// deregisterUnnamed is deregister for a message that does not tell which process leaves, and that arrives when process 5 is the newest one
+// that has started.
+func (w *departureWorld) deregisterUnnamed() {
+	w.c.Helper()
+	w.call(w.leader(), func(ctx context.Context, g *Group) error {
+		_, err := g.Leave(ctx, &oper.LeaveRequest{Name: "u", Latest: 5})
+		return err
+	})
+}
+
 // lose lets the leases of all upstreams expire.
 func (w *departureWorld) lose() {
 	w.run(w.now + 3*w.leaseTiming.Lease())
@@ -175,6 +185,22 @@
 			w.replaceAtAddress(6)
 			w.deregister(5)
 		}},
+		{"deregisters without a name before it joined", (*departureWorld).deregisterUnnamed},
+		{"deregisters without a name after it joined", func(w *departureWorld) {
+			w.announce(heartbeat(5, 1, false))
+			w.deregisterUnnamed()
+		}},
+		{"deregisters without a name after it was lost", func(w *departureWorld) {
+			w.announce(heartbeat(5, 1, false))
+			w.lose()
+			w.deregisterUnnamed()
+		}},
+		{"deregisters without a name before it joined, after an older process left and was removed", func(w *departureWorld) {
+			w.announce(heartbeat(3, 1, false))
+			w.deregister(3)
+			w.lose()
+			w.deregisterUnnamed()
+		}},
 		{"drains before it joined", func(w *departureWorld) { w.announce(heartbeat(5, 2, true)) }},
 		{"drains while an operator drains it", func(w *departureWorld) {
 			w.announce(heartbeat(5, 1, false))
--- a/internal/control/group/leave.go
+++ b/internal/control/group/leave.go
@@ -13,7 +13,7 @@
 )
 
 // Leave records that a process of an upstream leaves, here or at the leader, whether the process has joined or not. It returns once
-// that is committed. Without an incarnation, the newest process that is known leaves; there must be one.
+// that is committed.
 func (g *Group) Leave(ctx context.Context, r *oper.LeaveRequest) (_ *oper.Empty, err error) {
 	return atLeader(ctx, g, oper.Leave, r, g.leaveAsLeader)
 }
@@ -22,12 +22,10 @@
 	if !conf.IsWord(r.Name) {
 		return nil, &oper.ErrInvalid{Reason: "name must be 1 to 40 letters, digits, - or _"}
 	}
-	process, left := table.Process{Name: r.Name, Incarnation: r.Incarnation}, false
+	var process table.Process
+	left := false
 	err := g.leaseRead(ctx, func(*leaderState) error {
-		if process.Incarnation == 0 {
-			u, _ := g.state.UpstreamNamed(r.Name)
-			process.Incarnation = max(u.Incarnation, g.state.NewestIncarnation(r.Name))
-		}
+		process = g.leavingProcess(r)
 		if process.Incarnation == 0 {
 			return &oper.ErrInvalid{Reason: "no process of " + r.Name + " is known, and the message does not tell which one leaves"}
 		}
@@ -43,6 +41,26 @@
 	return &oper.Empty{}, err
 }
 
+// leavingProcess returns the process that a request means. Without an incarnation, that is the one that is listed or was lost, and
+// otherwise any that has not joined yet and may have sent the request.
+func (g *Group) leavingProcess(r *oper.LeaveRequest) table.Process {
+	p := table.Process{Name: r.Name, Incarnation: r.Incarnation}
+	if p.Incarnation != 0 {
+		return p
+	}
+	u, listed := g.state.UpstreamNamed(r.Name)
+	_, lost := g.state.Lost(r.Name)
+	switch {
+	case listed:
+		p.Incarnation = u.Incarnation
+	case lost:
+		p.Incarnation = g.state.NewestIncarnation(r.Name)
+	default:
+		p.Incarnation = max(r.Latest, g.state.NewestIncarnation(r.Name))
+	}
+	return p
+}
+
 // recordLeaving reports whether it is committed that a process has left. If it is not, recordLeaving proposes it, once in a leadership.
 func (g *Group) recordLeaving(l *leaderState, p table.Process, source string) (committed bool) {
 	if g.state.HasLeft(p) {
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -116,10 +116,12 @@
 	Items []items.Item `cbor:"1,keyasint" json:"items"`
 }
 
-// LeaveRequest announces that a process of an upstream leaves. Incarnation zero means the newest one that is known.
+// LeaveRequest announces that a process of an upstream leaves. If its incarnation is not known, Incarnation is zero and Latest is the
+// newest one that it can have.
 type LeaveRequest struct {
 	Name        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
+	Latest      uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // BootstrapRequest bootstraps a control group with the listed members.
