--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -25,8 +25,9 @@
 )
 
 // Call is one request to an upstream. Key identifies the upstream process. ID is the value of the header field IDHeader, which the
-// response must repeat; calls with the same ID use different connections. BeforeSend, if set, is called once there is a connection, before the first byte is sent; if it returns an
-// error, the request is not sent. OnHeader, if set, is called with the status and header of the response when they have been read.
+// response must repeat; calls with the same ID use different connections. BeforeSend, if set, is called once there is a connection, before
+// the first byte is sent; if it returns an error, the request is not sent. OnHeader, if set, is called with the status and header of the
+// response when they have been read.
 type Call struct {
 	Key        string
 	Address    string
