--- a/internal/control/group/departure_test.go
+++ b/internal/control/group/departure_test.go
@@ -82,21 +82,12 @@
 	w.c.Fatalf("announcement %d of process %d is not acknowledged", a.Sequence, a.Incarnation)
 }
 
-// deregister sends the message that a process leaves and waits until it is acknowledged.
+// deregister sends the message that a process leaves and waits until it is acknowledged. Without an incarnation, process 5 is the newest
+// one that has started when the message arrives.
 func (w *departureWorld) deregister(incarnation uint64) {
 	w.c.Helper()
 	w.call(w.leader(), func(ctx context.Context, g *Group) error {
-		_, err := g.Leave(ctx, &oper.LeaveRequest{Name: "u", Incarnation: incarnation})
-		return err
-	})
-}
-
-// deregisterUnnamed is deregister for a message that does not tell which process leaves, and that arrives when process 5 is the newest one
-// that has started.
-func (w *departureWorld) deregisterUnnamed() {
-	w.c.Helper()
-	w.call(w.leader(), func(ctx context.Context, g *Group) error {
-		_, err := g.Leave(ctx, &oper.LeaveRequest{Name: "u", Latest: 5})
+		_, err := g.Leave(ctx, &oper.LeaveRequest{Name: "u", Incarnation: incarnation, Latest: 5})
 		return err
 	})
 }
@@ -185,21 +176,21 @@
 			w.replaceAtAddress(6)
 			w.deregister(5)
 		}},
-		{"deregisters without a name before it joined", (*departureWorld).deregisterUnnamed},
-		{"deregisters without a name after it joined", func(w *departureWorld) {
+		{"deregisters without an incarnation before it joined", func(w *departureWorld) { w.deregister(0) }},
+		{"deregisters without an incarnation after it joined", func(w *departureWorld) {
 			w.announce(heartbeat(5, 1, false))
-			w.deregisterUnnamed()
+			w.deregister(0)
 		}},
-		{"deregisters without a name after it was lost", func(w *departureWorld) {
+		{"deregisters without an incarnation after it was lost", func(w *departureWorld) {
 			w.announce(heartbeat(5, 1, false))
 			w.lose()
-			w.deregisterUnnamed()
+			w.deregister(0)
 		}},
-		{"deregisters without a name before it joined, after an older process left and was removed", func(w *departureWorld) {
+		{"deregisters without an incarnation before it joined, after an older process left and was removed", func(w *departureWorld) {
 			w.announce(heartbeat(3, 1, false))
 			w.deregister(3)
 			w.lose()
-			w.deregisterUnnamed()
+			w.deregister(0)
 		}},
 		{"drains before it joined", func(w *departureWorld) { w.announce(heartbeat(5, 2, true)) }},
 		{"drains while an operator drains it", func(w *departureWorld) {
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -357,25 +357,23 @@
 	joins := func(t *testing.T, h *harness, incarnation uint64) bool {
 		return h.mustApply(t, join("u", incarnation)).Rejection == ""
 	}
-	t.Run("never joined", func(t *testing.T) {
-		h := newHarness()
-		h.mustApply(t, leave("u", 5))
-		qt.Check(t, h.state.HasLeft(table.Process{Name: "u", Incarnation: 5}), qt.IsTrue)
-		qt.Check(t, h.state.HasLeft(table.Process{Name: "u", Incarnation: 6}), qt.IsFalse)
-		qt.Check(t, joins(t, h, 4), qt.IsFalse)
-		qt.Check(t, joins(t, h, 5), qt.IsFalse)
-		qt.Check(t, joins(t, h, 6), qt.IsTrue)
-	})
-	t.Run("restored from a snapshot", func(t *testing.T) {
-		h := newHarness()
-		h.mustApply(t, leave("u", 5))
-		data, err := h.state.Encode()
-		qt.Assert(t, err, qt.IsNil)
-		h.state, err = Decode(data)
-		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, joins(t, h, 5), qt.IsFalse)
-		qt.Check(t, joins(t, h, 6), qt.IsTrue)
-	})
+	for _, restored := range []bool{false, true} {
+		t.Run(fmt.Sprint("never joined, restored from a snapshot: ", restored), func(t *testing.T) {
+			h := newHarness()
+			h.mustApply(t, leave("u", 5))
+			if restored {
+				data, err := h.state.Encode()
+				qt.Assert(t, err, qt.IsNil)
+				h.state, err = Decode(data)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			qt.Check(t, h.state.HasLeft(table.Process{Name: "u", Incarnation: 5}), qt.IsTrue)
+			qt.Check(t, h.state.HasLeft(table.Process{Name: "u", Incarnation: 6}), qt.IsFalse)
+			qt.Check(t, joins(t, h, 4), qt.IsFalse)
+			qt.Check(t, joins(t, h, 5), qt.IsFalse)
+			qt.Check(t, joins(t, h, 6), qt.IsTrue)
+		})
+	}
 	t.Run("an older process is listed", func(t *testing.T) {
 		h := newHarness()
 		h.mustApply(t, join("u", 3))
