--- a/internal/entry/relay/repeated_test.go
+++ b/internal/entry/relay/repeated_test.go
@@ -10,8 +10,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
 // repeater responds to each request on a connection after it has repeated its response to the one before.
@@ -33,15 +31,20 @@
 	writeRaw(conn, s.echo(r), len(r.URL.Path), r.URL.Path)
 }
 
-// withRepeater returns a fixture with an upstream that checks no fencing tokens and repeats its responses.
-func withRepeater(t *testing.T, echo func(r *http.Request) string) (f *fixture, u *scripted, info table.Upstream) {
-	s := &repeater{last: map[net.Conn]string{}, echo: echo}
-	u = mustScripted(qt.New(t), s.respond)
-	info = upstreamAt(1, u.address())
+// withUnchecked returns a fixture with an upstream that checks no fencing tokens.
+func withUnchecked(t *testing.T, s script) (f *fixture, u *scripted) {
+	u = mustScripted(qt.New(t), s)
+	info := upstreamAt(1, u.address())
 	info.ChecksFence = false
 	f = mustFixture(t, "entry1", info)
 	f.handler.options.LeaseEnd = func() time.Time { return time.Now().Add(time.Minute) }
-	return f, u, info
+	return f, u
+}
+
+// withRepeater returns a fixture with such an upstream that repeats its responses.
+func withRepeater(t *testing.T, echo func(r *http.Request) string) *fixture {
+	f, _ := withUnchecked(t, (&repeater{last: map[net.Conn]string{}, echo: echo}).respond)
+	return f
 }
 
 // TestRepeatedResponseWithoutID guards against callers that get the response to another request: an upstream that returns no attempt ids
@@ -49,7 +52,7 @@
 func TestRepeatedResponseWithoutID(t *testing.T) {
 	attemptID := func(r *http.Request) string { return r.Header.Get(HeaderAttemptID) }
 	t.Run("never an id", func(t *testing.T) {
-		f, _, _ := withRepeater(t, func(*http.Request) string { return "" })
+		f := withRepeater(t, func(*http.Request) string { return "" })
 		for i := range 10 {
 			path := fmt.Sprintf("/frames/k%d", i)
 			f.c.Check(f.do("POST", path).body, qt.Equals, path)
@@ -57,7 +60,7 @@
 	})
 	t.Run("an id at first", func(t *testing.T) {
 		var n atomic.Int64
-		f, _, _ := withRepeater(t, func(r *http.Request) string {
+		f := withRepeater(t, func(r *http.Request) string {
 			if n.Add(1) > 2 {
 				return ""
 			}
@@ -77,11 +80,7 @@
 		f.c.Check(lost, qt.Equals, 1, qt.Commentf("the response that shows the change"))
 	})
 	t.Run("always an id", func(t *testing.T) {
-		u := mustScripted(qt.New(t), func(conn net.Conn, r *http.Request) { writeResponse(conn, r, r.URL.Path) })
-		info := upstreamAt(1, u.address())
-		info.ChecksFence = false
-		f := mustFixture(t, "entry1", info)
-		f.handler.options.LeaseEnd = func() time.Time { return time.Now().Add(time.Minute) }
+		f, u := withUnchecked(t, func(conn net.Conn, r *http.Request) { writeResponse(conn, r, r.URL.Path) })
 		for range 10 {
 			f.c.Check(f.do("POST", "/frames/k").body, qt.Equals, "/frames/k")
 		}
