items, conf: routes with large responses, cold upstreams, resources of a host

Operators' calls with a route of the kind download were rejected with status 400, so that a deployment with such a route got no configuration and served nothing. The kind is accepted as idempotent with large responses, and the limits of cold upstreams are read. Settings state the memory, descriptors, processor and link of a host; they have no effect yet.

--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -124,7 +124,7 @@
 	d.table = route.NewTable(d.settings.Name(), d.settings.MaxParked())
 	d.stats = stats.New(d.registry)
 	host := table.EntryHost{Name: d.settings.Name(), Incarnation: uint64(time.Now().UnixNano()),
-		Address: d.settings.Peers(), DataCentre: d.settings.DataCentre()}
+		Address: d.settings.Peers(), DataCentre: d.settings.DataCentre(), Processor: d.settings.Processor(), Link: d.settings.Link()}
 	d.controlHosts = wire.NewHosts(d.client, d.settings.Control())
 	d.agent = agent.New(agent.Options{Host: host, Hosts: d.controlHosts,
 		Lease: d.settings.LeaseTime(), ReportPeriod: d.reportPeriod(), Table: d.table, Stats: d.stats, Log: d.log})
--- a/internal/shared/conf/settings.go
+++ b/internal/shared/conf/settings.go
@@ -23,6 +23,12 @@
 	maxHeaderBytes int
 	maxBodyBytes   int
 	maxParked      int
+	memory         int
+	descriptors    int
+	processor      float64
+	link           float64
+	coldOverrun    float64
+	coldSlack      float64
 	drainNotice    time.Duration
 	drainBound     time.Duration
 	logLevel       string
@@ -133,6 +139,27 @@
 // MaxBodyBytes returns the largest request body, in bytes.
 func (s *Settings) MaxBodyBytes() int { return s.maxBodyBytes }
 
+// Memory returns the memory that the process may use, in bytes, or zero if the settings do not state it.
+func (s *Settings) Memory() int64 { return int64(s.memory) << 20 }
+
+// Descriptors returns the number of file descriptors that the process may use, or zero if the settings do not state it.
+func (s *Settings) Descriptors() int { return s.descriptors }
+
+// Processor returns the number of processor cores that the process may use, which may be a fraction.
+func (s *Settings) Processor() float64 { return s.processor }
+
+// Link returns the rate of the host's network link in bytes per second, or zero if the settings do not state it.
+func (s *Settings) Link() float64 { return s.link * bytesPerMegabit }
+
+// bytesPerMegabit converts a rate in Mbit/s to bytes per second.
+const bytesPerMegabit = 1e6 / 8
+
+// ColdOverrun returns the factor by which the requests that arrive at a cold upstream within one second may exceed its rate.
+func (s *Settings) ColdOverrun() float64 { return s.coldOverrun }
+
+// ColdSlack returns how many further requests may arrive at a cold upstream within one second.
+func (s *Settings) ColdSlack() float64 { return s.coldSlack }
+
 // MaxParked returns the maximum number of parked requests, which wait until their slice has an owner.
 func (s *Settings) MaxParked() int { return s.maxParked }
 
@@ -182,6 +209,8 @@
 func (s *Settings) readHost(r *reader) {
 	s.name = need(r, "host", "name", word())
 	s.dataCentre = need(r, "host", "dataCentre", word())
+	s.processor = read(r, "host", "processor", 1, numberBetween(0.01, 1024))
+	s.link = read(r, "host", "link", 0, numberBetween(0.01, 1e6))
 	s.dataFolder = read(r, "control", "dataFolder", "", text())
 	if s.dataFolder == "" {
 		s.callers = need(r, "listen", "callers", address())
@@ -222,6 +251,8 @@
 func (s *Settings) readRetries(r *reader) {
 	s.routing = read(r, "callers", "routing", RoutingFiles, oneOf(RoutingFiles, RoutingItems))
 	s.leaveTime = read(r, "callers", "leaveTime", 2*time.Second, durationBetween(0, time.Minute))
+	s.coldOverrun = read(r, "cold", "overrun", 1, numberBetween(1, 100))
+	s.coldSlack = read(r, "cold", "slack", 0, numberBetween(0, 1e6))
 	s.retryShare = read(r, "retries", "share", 0.1, numberBetween(0, 1))
 	s.retryBase = read(r, "retries", "base", 20, numberBetween(0, 1e6))
 	s.retryWindow = read(r, "retries", "window", 10*time.Second, durationBetween(time.Second, time.Hour))
@@ -231,6 +262,8 @@
 	s.maxHeaderBytes = read(r, "limits", "maxHeaderBytes", 32<<10, intBetween(1<<10, 1<<20))
 	s.maxBodyBytes = read(r, "limits", "maxBodyBytes", 4<<20, intBetween(1<<10, 1<<30))
 	s.maxParked = read(r, "limits", "maxParked", 10000, intBetween(1, 1000000))
+	s.memory = read(r, "limits", "memory", 0, intBetween(32, 1<<20))
+	s.descriptors = read(r, "limits", "descriptors", 0, intBetween(256, 1<<24))
 	s.drainNotice = read(r, "drain", "notice", 3*time.Second, durationBetween(0, 5*time.Minute))
 	s.drainBound = read(r, "drain", "bound", 20*time.Second, durationBetween(time.Second, 10*time.Minute))
 	if within := read(r, "drain", "within", 0, durationBetween(time.Second, 15*time.Minute)); within > 0 {
--- a/internal/shared/items/check.go
+++ b/internal/shared/items/check.go
@@ -87,6 +87,10 @@
 		return "the number of connections is below 0"
 	case s.WarmUp < 0:
 		return "the warm-up is below 0"
+	case s.ColdStart < 0:
+		return "the cold start is below 0"
+	case !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 0):
+		return "the rate of a cold upstream is below 0 or no number"
 	}
 	return ""
 }
--- a/internal/shared/items/types.go
+++ b/internal/shared/items/types.go
@@ -37,7 +37,7 @@
 func (i Item) Key() Key { return Key{Kind: i.Kind, Name: i.Name} }
 
 // Route defines the services to which requests with a host and path prefix are sent, and how they are handled. Objective is
-// the latency within which a request should be answered.
+// the latency within which a request should be answered. Large marks a route whose responses are large downloads.
 type Route struct {
 	Host        string        `cbor:"1,keyasint" json:"host"`
 	Prefix      string        `cbor:"2,keyasint" json:"prefix"`
@@ -47,6 +47,7 @@
 	MaxAttempts int           `cbor:"6,keyasint" json:"maxAttempts"`
 	Priority    int           `cbor:"7,keyasint" json:"priority"`
 	Targets     []Target      `cbor:"8,keyasint" json:"targets"`
+	Large       bool          `cbor:"9,keyasint,omitempty" json:"large,omitempty"`
 }
 
 // Target is a service with its weight among the services of a route.
@@ -56,12 +57,16 @@
 }
 
 // Service defines how requests are sent to the upstreams of a service. In a keyed service each key has one owner among the
-// upstreams. WarmUp is the time after its start during which an upstream is slow.
+// upstreams. WarmUp is the time for which an upstream is slow on keys that it got without handover data. ColdStart is the time after
+// its start during which an upstream is cold, and ColdRate the number of requests per second that a cold upstream tolerates, zero if
+// the service states none.
 type Service struct {
 	HealthPath     string        `cbor:"1,keyasint" json:"healthPath"`
 	MaxConnections int           `cbor:"2,keyasint" json:"maxConnections"`
 	Keyed          bool          `cbor:"3,keyasint" json:"keyed"`
 	WarmUp         time.Duration `cbor:"4,keyasint" json:"warmUp"`
+	ColdStart      time.Duration `cbor:"5,keyasint,omitempty" json:"coldStart,omitempty"`
+	ColdRate       float64       `cbor:"6,keyasint,omitempty" json:"coldRate,omitempty"`
 }
 
 // Limits limit the size of callers' requests, the time to receive a header and the idle time of connections.
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -48,6 +48,10 @@
 	Address     string `cbor:"3,keyasint" json:"address"`
 	DataCentre  string `cbor:"4,keyasint" json:"dataCentre"`
 	JoinedAt    uint64 `cbor:"5,keyasint" json:"joinedAt"`
+	// Processor is the number of processor cores that the host may use, and Link the rate of its network link in bytes per second. Zero
+	// stands for a host that states none.
+	Processor float64 `cbor:"6,keyasint,omitempty" json:"processor,omitempty"`
+	Link      float64 `cbor:"7,keyasint,omitempty" json:"link,omitempty"`
 }
 
 // PublishResult is the result of a publish; Reason says why it was rejected.
