--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -92,9 +92,13 @@
 	header.Set(names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	header.Set(names.Instance, u.Name)
 	r := j.request.HTTP
-	return &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
+	call := &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
 		Body: j.request.Body, IDHeader: names.RequestID, ID: j.id, Idempotent: j.idempotent(),
 		MaxIdle: idleConnections(u.Connections, len(j.broker.options.Table.View().Entries())), BeforeSend: func() error { return j.beforeSend(u) }}
+	if j.transfer != nil {
+		call.Pace = j.transfer.Body
+	}
+	return call
 }
 
 // idleShare is the share of the connections which an upstream accepts that all entry hosts together keep idle.
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/conns"
+	"ebonyrill.dev/ebonyrill/internal/entry/link"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/sched"
@@ -45,6 +46,7 @@
 	b.serveCtx, b.stopServing = context.WithCancel(b.receiveCtx)
 	b.waitCtx, b.stopWaiting = context.WithCancel(b.serveCtx)
 	b.schedulerNode = b.newSchedulerNode()
+	b.pool.CountOn(o.Link)
 	return b
 }
 
@@ -126,6 +128,7 @@
 	upstream       string
 	waited         time.Duration
 	lastResponse   *conns.Response
+	transfer       *link.Transfer
 	reason         Reason
 }
 
@@ -152,7 +155,11 @@
 	}
 	j.header = upstreamHeader(r.HTTP.Header, b.options.Headers)
 	ctx, cancel := context.WithTimeout(ctx, j.expires-b.options.Clock())
-	return cancelWhenDone(j.serve(ctx), cancel)
+	if rejection := j.awaitLink(ctx); rejection != nil {
+		cancel()
+		return rejection
+	}
+	return j.endTransfer(cancelWhenDone(j.serve(ctx), cancel))
 }
 
 // cancelWhenDone ends a request's context at once or, if the response is streamed, when the rest of it has been written.
--- /dev/null
+++ b/internal/entry/broker/link.go
@@ -0,0 +1,61 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/link"
+	"ebonyrill.dev/ebonyrill/internal/entry/retry"
+	"ebonyrill.dev/ebonyrill/internal/entry/serve"
+)
+
+// awaitLink waits until the host's link has room for the request. It returns a response if the request is rejected instead.
+func (j *job) awaitLink(ctx context.Context) (rejection *serve.Response) {
+	b := j.broker
+	objective := j.match.Route.Objective
+	var err error
+	if j.match.Route.Large {
+		began := b.options.Clock()
+		waiting, bounds := retry.Bound(ctx, 0, b.waitCtx)
+		defer bounds.Cancel()
+		j.transfer, err = b.options.Link.Begin(ctx, waiting, j.match.Name, j.arrived+objective, j.expires)
+		j.waited += b.options.Clock() - began
+		if err != nil && waiting.Err() != nil {
+			return j.endedResponse(waiting)
+		}
+	} else {
+		err = b.options.Link.Admit(j.match.Route.Priority, objective)
+	}
+	var busy *link.ErrBusy
+	if errors.As(err, &busy) {
+		return j.reject(ReasonLinkBusy, spreadReturn(busy.After))
+	}
+	return nil
+}
+
+// endTransfer releases the link once the response has been written, or at once if there is nothing to stream.
+func (j *job) endTransfer(resp *serve.Response) *serve.Response {
+	if j.transfer == nil {
+		return resp
+	}
+	if resp == nil || resp.Rest == nil {
+		j.transfer.Finish(resp != nil && resp.Status < minFailureStatus)
+		return resp
+	}
+	done := resp.Done
+	resp.Done = func(written bool) {
+		if done != nil {
+			done(written)
+		}
+		j.transfer.Finish(written)
+	}
+	return resp
+}
+
+// minFailureStatus is the lowest status of a response that is not a success.
+const minFailureStatus = 300
+
+// linkDelay returns how long the bytes of a request wait on this host's link before they leave it.
+func (b *Broker) linkDelay() time.Duration { return b.options.Link.Delay() }
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -208,9 +208,10 @@
 	return b.upstreams.mayServe(now, u, b.leaveTime())
 }
 
-// leaveTime is how long an upstream is still sent requests after this host learned that it leaves.
+// leaveTime is how long an upstream is still sent requests after this host learned that it leaves. The time for which they wait on
+// this host's link is not available.
 func (b *Broker) leaveTime() time.Duration {
-	return time.Duration(leaveMargin * float64(b.options.LeaveTime))
+	return time.Duration(leaveMargin*float64(b.options.LeaveTime)) - b.linkDelay()
 }
 
 // acquireAtOwner acquires a slot at the owner. It returns again as true if the owner changed while the request waited.
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/link"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
@@ -60,6 +61,8 @@
 	Address string
 	// ControlReachable reports whether a control host has responded recently; otherwise this host assigns no slots.
 	ControlReachable func() bool
+	// Link is this host's network link, nil if its rate is unknown.
+	Link *link.Link
 	// LeaveTime is how long an upstream may still be sent requests after it began to drain.
 	LeaveTime time.Duration
 	// OnLeaving, if set, is called when a response shows that an upstream is leaving.
@@ -91,6 +94,7 @@
 	ReasonCallerGone  Reason = "callerGone"
 	ReasonBudgetSpent Reason = "budgetSpent"
 	ReasonStopping    Reason = "stopping"
+	ReasonLinkBusy    Reason = "linkBusy"
 )
 
 // Record describes a request that has its final response. Took is the time since its arrival, Waited the part of it that was spent
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -19,6 +19,7 @@
 // Limits of exchanges.
 const (
 	maxBufferedBody  = 64 << 10                // bytes of a response body that are read before the caller gets any of it
+	maxPacedBuffer   = 16 << 10                // the same for a response that is paced, as its upstream's slot is in use meanwhile
 	maxResponsesRead = 3                       // responses that are read for one request, with interim ones and those to other requests
 	maxSyncBody      = 32 << 10                // bytes; a larger request body is written while the response is awaited
 	maxIdleUnsafe    = 1500 * time.Millisecond // longest idle time of a connection that is reused for a request that is not idempotent
@@ -42,7 +43,9 @@
 	// MaxIdle is how many idle connections to the upstream are kept, zero for the pool's own limit.
 	MaxIdle    int
 	BeforeSend func() error
-	OnHeader   func(status int, header http.Header)
+	// Pace, if set, returns a reader that reads the body of the response at a limited rate.
+	Pace     func(body io.Reader) io.Reader
+	OnHeader func(status int, header http.Header)
 }
 
 // Response is an upstream's response. Body is complete if Rest is nil; otherwise Rest reads the remainder from the connection, and
@@ -241,8 +244,12 @@
 // readBody reads the body of a response. If it is longer than maxBufferedBody, the rest is left to be streamed.
 func (x *exchange) readBody(r *http.Response) (resp *Response, err error) {
 	resp = &Response{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength}
-	buffer := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 512), maxBufferedBody)))
-	n, err := io.CopyN(buffer, r.Body, maxBufferedBody)
+	body, most := io.Reader(r.Body), int64(maxBufferedBody)
+	if x.call.Pace != nil {
+		body, most = x.call.Pace(r.Body), maxPacedBuffer
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(r.ContentLength, 512), most)))
+	n, err := io.CopyN(buffer, body, most)
 	switch {
 	case err == io.EOF:
 		resp.Body, resp.Length = buffer.Bytes(), max(n, r.ContentLength)
@@ -252,7 +259,7 @@
 		return nil, errors.WithMessage(err, "read body")
 	}
 	resp.Body = buffer.Bytes()
-	resp.Rest = r.Body
+	resp.Rest = body
 	resp.Finish = func(complete bool) { x.finish(complete && !r.Close && x.reusable(r)) }
 	return resp, nil
 }
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/bound"
+	"ebonyrill.dev/ebonyrill/internal/entry/link"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -50,12 +51,15 @@
 	reuses int64
 	drops  dropLimit
 	// connect opens a connection.
-	connect func(ctx context.Context, address string) (net.Conn, error)
+	connect link.Dialer
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}, connect: connect} }
 
+// CountOn makes the pool count the bytes of its connections on a link. It must be called before the first request.
+func (p *Pool) CountOn(l *link.Link) { p.connect = l.WrapDialer(p.connect) }
+
 // Counts returns how many connections were opened and how often one was reused.
 func (p *Pool) Counts() (dials, reuses int64) {
 	p.mutex.Lock()
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"ebonyrill.dev/ebonyrill/internal/control/raft"
 	"ebonyrill.dev/ebonyrill/internal/entry/agent"
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
+	"ebonyrill.dev/ebonyrill/internal/entry/link"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
@@ -63,6 +64,7 @@
 	settingsFile   string
 	platform       Platform
 	broker         *broker.Broker
+	link           *link.Link
 	brokerServer   *serve.Server
 	platformServer *http.Server
 	readyServer    *http.Server
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -10,6 +10,7 @@
 
 	"ebonyrill.dev/ebonyrill/internal/control/group"
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
+	"ebonyrill.dev/ebonyrill/internal/entry/link"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
@@ -52,8 +53,9 @@
 
 // openBroker creates the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
+	d.link = link.New(d.settings.Link(), clock.Boot)
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Headers: d.platform.HeaderNames(),
-		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable, OnLeaving: d.agent.ReportLeaving,
+		Address: d.settings.Peers(), Table: d.table, Link: d.link, LeaveTime: d.settings.LeaveTime(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable, OnLeaving: d.agent.ReportLeaving,
 		Retries: retry.Limits{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
 	d.brokerServer = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, OnRejected: d.broker.Rejected,
 		OnUnanswered: d.broker.Unanswered, OnPanic: d.broker.Panicked})
@@ -65,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	addServer(parts, func() error { return d.brokerServer.Serve(listener) }, d.brokerServer.Close)
+	addServer(parts, func() error { return d.brokerServer.Serve(d.link.WrapListener(listener)) }, d.brokerServer.Close)
 	parts.Add(func() error { return d.broker.Run(ctx) }, func(error) { cancel() })
 	if !d.useDatagrams() {
 		return nil
