--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -91,9 +91,12 @@
 
 // ControlReachable reports whether a watch got a response within contactTime.
 func (a *Agent) ControlReachable() bool {
-	return clock.Boot()-time.Duration(a.respondedAt.Load()) < contactTime
+	return a.Silence() < contactTime
 }
 
+// Silence returns the time since a watch last got a response.
+func (a *Agent) Silence() time.Duration { return clock.Boot() - time.Duration(a.respondedAt.Load()) }
+
 func (a *Agent) noteResponse() { a.respondedAt.Store(int64(clock.Boot())) }
 
 // Leave announces with the next renewal that this host must no longer be the home of any upstream.
--- a/internal/entry/broker/link.go
+++ b/internal/entry/broker/link.go
@@ -26,7 +26,7 @@
 			return j.endedResponse(waiting)
 		}
 	} else {
-		err = b.options.Link.Admit(j.match.Route.Priority, objective)
+		err = b.options.Link.Admit(j.match.Route.Priority, objective, b.controlSilence())
 	}
 	var busy *link.ErrBusy
 	if errors.As(err, &busy) {
@@ -35,6 +35,14 @@
 	return nil
 }
 
+// controlSilence returns the time since control last responded to this host, zero if that is unknown.
+func (b *Broker) controlSilence() time.Duration {
+	if b.options.ControlSilence == nil {
+		return 0
+	}
+	return b.options.ControlSilence()
+}
+
 // endTransfer releases the link once the response has been written, or at once if there is nothing to stream.
 func (j *job) endTransfer(resp *serve.Response) *serve.Response {
 	if j.transfer == nil {
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -61,6 +61,8 @@
 	Address string
 	// ControlReachable reports whether a control host has responded recently; otherwise this host assigns no slots.
 	ControlReachable func() bool
+	// ControlSilence, if set, returns the time since a control host last responded to this host.
+	ControlSilence func() time.Duration
 	// Link is this host's network link, nil if its rate is unknown.
 	Link *link.Link
 	// LeaveTime is how long an upstream may still be sent requests after it began to drain.
--- a/internal/entry/link/admit.go
+++ b/internal/entry/link/admit.go
@@ -12,27 +12,54 @@
 	fullShare = 0.97
 	// shedRange is the range of utilization below fullShare in which the least urgent requests are rejected in a growing share.
 	shedRange = 0.08
+	// maxSilence is how long after the last response of control a congested link counts as the reason for the silence. Watches are answered
+	// within a second; the rest of the 2 s within which a change must be in force is needed to receive it.
+	maxSilence = 1300 * time.Millisecond
+	// congested is the utilization of the receiving direction from which it may delay the responses of control.
+	congested = 0.85
 )
 
+// Load is the load of a host's link: how long a byte waits that is sent now, the utilization of the receiving direction, and the time
+// since the last response of control.
+type Load struct {
+	delay    time.Duration
+	received float64
+	silence  time.Duration
+}
+
+// NewLoad returns a load.
+func NewLoad(delay time.Duration, received float64, silence time.Duration) Load {
+	return Load{delay: delay, received: received, silence: silence}
+}
+
 // Admission is the decision on a request that arrives at a busy link.
 type Admission struct {
-	// Admitted is set if the request may be handled; otherwise it is rejected, and may return after the time After.
-	Admitted bool
-	After    time.Duration
+	admitted bool
+	after    time.Duration
 }
 
+// Admitted reports whether the request may be handled.
+func (a Admission) Admitted() bool { return a.admitted }
+
+// After returns the time after which a rejected request may return.
+func (a Admission) After() time.Duration { return a.after }
+
 // Admit decides whether a small request is handled. It answers a load beyond the link's rate: a request that would wait for too much of
-// its objective is rejected at once, the least urgent first, as a caller that returns reaches another host. delay is that of the sending
-// direction, received the utilization of the receiving direction, and draw a random number from 0 to 1.
-func Admit(delay time.Duration, received float64, priority int, objective time.Duration, draw float64) Admission {
+// its objective is rejected at once, the least urgent first, as a caller that returns reaches another host. While the congestion keeps
+// the news of control from this host, every request is rejected: it would be routed by a table that may be out of date. The number draw
+// is random, from 0 to 1.
+func Admit(l Load, priority int, objective time.Duration, draw float64) Admission {
+	if l.received > congested && l.silence > maxSilence {
+		return Admission{after: usagePeriod}
+	}
 	level := min(max(priority, 0), lowestLevel)
 	most := time.Duration(maxDelayShare*float64(objective)) >> level
-	if delay > most {
-		return Admission{After: delay - most}
+	if l.delay > most {
+		return Admission{after: l.delay - most}
 	}
 	begin := fullShare - shedRange*float64(level)/lowestLevel
-	if level > 0 && draw < (received-begin)/shedRange {
-		return Admission{After: usagePeriod}
+	if level > 0 && draw < (l.received-begin)/shedRange {
+		return Admission{after: usagePeriod}
 	}
-	return Admission{Admitted: true}
+	return Admission{admitted: true}
 }
--- a/internal/entry/link/link.go
+++ b/internal/entry/link/link.go
@@ -40,17 +40,17 @@
 // Error returns the message.
 func (e *ErrBusy) Error() string { return "the host's link is busy" }
 
-// Admit returns ErrBusy if a small request must be rejected.
-func (l *Link) Admit(priority int, objective time.Duration) error {
+// Admit returns ErrBusy if a small request must be rejected. silence is the time since the last response of control.
+func (l *Link) Admit(priority int, objective, silence time.Duration) error {
 	if l == nil {
 		return nil
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := l.clock()
-	a := Admit(l.sent.Delay(now), l.received.Utilization(now), priority, objective, rand.Float64())
-	if !a.Admitted {
-		return &ErrBusy{After: a.After}
+	a := Admit(NewLoad(l.sent.Delay(now), l.received.Utilization(now), silence), priority, objective, rand.Float64())
+	if !a.Admitted() {
+		return &ErrBusy{After: a.After()}
 	}
 	return nil
 }
--- a/internal/entry/link/queue.go
+++ b/internal/entry/link/queue.go
@@ -10,6 +10,9 @@
 // upstream before its response begins, so that the link is not idle meanwhile.
 const window = 500 * time.Millisecond
 
+// timeMargin is the factor on the expected time of transfers, as sizes differ and downloads share the link.
+const timeMargin = 1.25
+
 // Download is a request for a large response: its expected size in bytes, the time that the upstream is expected to need before the
 // response begins, when it should be complete (due), and when it must be (expires).
 type Download struct {
@@ -47,7 +50,7 @@
 			ahead += w.bytes
 		}
 	}
-	done := now + d.lead + duration((ahead+d.bytes)/rate)
+	done := now + d.lead + duration(timeMargin*(ahead+d.bytes)/rate)
 	if done > d.expires {
 		return max(done-d.expires, duration(d.bytes/rate)), false
 	}
@@ -96,9 +99,12 @@
 
 // release stops counting a started download.
 func (q *Queue) release(d *Download) {
-	q.outstanding = max(q.outstanding-d.left, 0)
 	d.left = 0
 	q.counted = slices.DeleteFunc(slices.Clone(q.counted), func(o *Download) bool { return o == d })
+	q.outstanding = 0
+	for _, o := range q.counted {
+		q.outstanding += o.left
+	}
 }
 
 // Waiting returns the number of downloads that have not started.
