--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -105,6 +105,9 @@
 		_, reuses := d.broker.Pool().Counts()
 		return reuses
 	})
+	if d.link != nil {
+		d.registerLink(gauge)
+	}
 	gauge("ebonyrill_caller_connections", "Open connections of callers.", func() float64 { return float64(d.brokerServer.Count()) })
 }
 
@@ -161,3 +164,19 @@
 	}{d.settings.Name(), d.settings.DataCentre(), view.Version(), view.Config().Version, d.agent.HasLease(),
 		d.stopping.Load(), d.table.Parked(), busy, waiting, unwilling})
 }
+
+// registerLink registers the metrics of the host's network link.
+func (d *Daemon) registerLink(gauge func(name, help string, value func() float64)) {
+	gauge("ebonyrill_link_sent_utilization", "Share of the link's rate that callers' requests and responses use to send.", func() float64 {
+		sent, _, _ := d.link.Load()
+		return sent
+	})
+	gauge("ebonyrill_link_received_utilization", "Share of the link's rate that callers' requests and responses use to receive.", func() float64 {
+		_, received, _ := d.link.Load()
+		return received
+	})
+	gauge("ebonyrill_link_waiting_downloads", "Requests for large responses that wait for the link.", func() float64 {
+		_, _, waiting := d.link.Load()
+		return float64(waiting)
+	})
+}
