sched, broker: requests reach a cold upstream only with a permit

Each host chose upstreams by slots alone, so that a cold upstream got as many requests as it had slots for. The scheduler of the subset now grants slots at cold upstreams at the rate of their permits; a host checks the end of a permit just before it sends, and sends nothing to a cold upstream without one. Expected waits and rejections count the permits. Services that state no rate are served as before.

--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -114,6 +114,12 @@
 	if err := j.checkUpstream(u); err != nil {
 		return err
 	}
+	if err := j.checkPermit(u); err != nil {
+		return err
+	}
+	if j.slot != nil {
+		j.slot.MarkSent()
+	}
 	j.request.SetStage(serve.StageForwarded)
 	return nil
 }
@@ -142,6 +148,9 @@
 func (j *job) handleFailure(ctx context.Context, u table.Upstream, took time.Duration, err error) (response *serve.Response, again bool) {
 	b := j.broker
 	j.cause = err.Error()
+	if isNotSent(err) && isColdRefusal(err) && ctx.Err() == nil {
+		return j.refusedCold(u, took)
+	}
 	if isNotSent(err) {
 		result := resultConnectFailed
 		j.reason = ReasonNotReached
@@ -278,7 +287,7 @@
 func (j *job) releaseSlot(u table.Upstream, result attemptResult, took time.Duration, load *loadReport) {
 	b := j.broker
 	b.upstreams.requestEnded(b.options.Clock(), u, result, took, load)
-	r := sched.Result{Completion: result.completion(), Took: took}
+	r := sched.Result{Completion: result.completion(), Took: took, ColdLeft: j.coldResult(u)}
 	if load != nil {
 		r.Running, r.Waiting = load.running, load.waiting
 	}
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -127,6 +127,7 @@
 	waited         time.Duration
 	lastResponse   *conns.Response
 	reason         Reason
+	coldRefusals   int
 }
 
 // Handle handles one request and returns its response, or nil if the caller has disconnected.
--- a/internal/entry/broker/failover.go
+++ b/internal/entry/broker/failover.go
@@ -37,6 +37,7 @@
 	disarm := func() bool { return false }
 	call.OnHeader = func(status int, header http.Header) {
 		j.broker.readNotice(j.id, u, status, header)
+		j.broker.readCold(j.id, u, header)
 		if bounds.Disarm() {
 			disarm = context.AfterFunc(j.broker.receiveCtx, func() { bounds.End(retry.ErrStopping) })
 		}
--- a/internal/entry/broker/notice.go
+++ b/internal/entry/broker/notice.go
@@ -114,6 +114,7 @@
 const (
 	NoticeLeaving Notice = "leaving"
 	NoticePause   Notice = "pause"
+	NoticeCold    Notice = "cold"
 	NoticeInvalid Notice = "invalid"
 )
 
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -42,7 +42,7 @@
 
 // schedulerUpstreams returns the upstreams of a service in the form that the scheduler needs.
 func (b *Broker) schedulerUpstreams(service string) []sched.Upstream {
-	return b.upstreams.describe(b.options.Clock(), b.options.Table.View().UpstreamsOf(service))
+	return b.upstreams.describe(b.options.Clock(), b.options.Table.View().UpstreamsOf(service), b.coldLimit(service))
 }
 
 // selectUpstream returns the upstream for the next attempt, or the response to send if there is none.
@@ -73,6 +73,9 @@
 		return u, nil
 	}
 	pause := b.upstreams.pauseOf(now, view, j.service)
+	if left := b.upstreams.soonestWarm(now, view, j.service); pause == 0 && left > 0 {
+		return u, j.rejectCold(left)
+	}
 	if pause == 0 {
 		return u, j.reject(ReasonNoUpstream, noUpstreamRetryAfter)
 	}
@@ -225,6 +228,9 @@
 		b.options.Observer.Arrived(j.service, o.Start, j.hash)
 	}
 	u, rejection, err := j.acquireSlot(ctx, o.Upstream.Number)
+	if left := b.coldLeft(b.options.Clock(), o.Upstream); err != nil && left > 0 {
+		return u, j.rejectCold(left), false
+	}
 	if err != nil {
 		j.owner = o
 		return o.Upstream, nil, false
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/cold"
 	"ebonyrill.dev/ebonyrill/internal/entry/pick"
 	"ebonyrill.dev/ebonyrill/internal/entry/sched"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -36,6 +37,7 @@
 	connectFailures  int
 	seenAt           time.Duration
 	service          string
+	cold             coldTimes
 }
 
 // tracker holds the state of all upstreams and the average latency of each service in seconds; it is safe for concurrent use.
@@ -60,6 +62,7 @@
 		s = &upstreamState{seenAt: now, service: u.Service}
 		t.upstreams[u.Number] = s
 	}
+	s.cold.apply(now, u)
 	return s
 }
 
@@ -111,19 +114,20 @@
 }
 
 // choose returns the upstream for a request of a service that any upstream may serve. Upstreams that could not be connected to are used
-// only if there is no other.
+// only if there is no other, and cold ones that need permits never.
 func (t *tracker) choose(now time.Duration, v *table.View, service, dataCentre string, exclude []uint32) (u table.Upstream, ok bool) {
 	unwilling, _ := t.notices.unwilling(now, service)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	list := v.UpstreamsOf(service)
+	list, limited := v.UpstreamsOf(service), needsPermits(v, service)
 	exclude = slices.Concat(exclude, unwilling)
 	for _, reachableOnly := range []bool{true, false} {
 		var candidates []pick.Candidate
 		var chosen []table.Upstream
 		for _, u := range list {
 			s := t.get(now, u)
-			if u.Leaving || slices.Contains(exclude, u.Number) || reachableOnly && now < s.unreachableUntil {
+			if u.Leaving || slices.Contains(exclude, u.Number) || reachableOnly && now < s.unreachableUntil ||
+				limited && s.cold.left(now) > 0 {
 				continue
 			}
 			candidates = append(candidates, s.candidate(now, u, t.averageLatency[service], dataCentre))
@@ -157,15 +161,17 @@
 	return s.failureRate / (1 + halfLives)
 }
 
-// describe returns upstreams in the form that the scheduler needs. One that joined recently is cold: it may still be slow.
-func (t *tracker) describe(now time.Duration, upstreams []table.Upstream) []sched.Upstream {
+// describe returns upstreams in the form that the scheduler needs. One that joined recently is cold, as it may still be slow, unless its
+// service states a rate for cold upstreams; the table then tells which ones are cold.
+func (t *tracker) describe(now time.Duration, upstreams []table.Upstream, limit cold.Limit) []sched.Upstream {
 	list := make([]sched.Upstream, 0, len(upstreams))
 	leaving := t.notices.leavingNumbers()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, u := range upstreams {
-		list = append(list, sched.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre, Draining: u.Leaving || leaving[u.Number],
-			Cold: now-t.get(now, u).seenAt < coldTime})
+		s := t.get(now, u)
+		list = append(list, s.withCold(now, sched.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre, Draining: u.Leaving || leaving[u.Number],
+			Cold: now-s.seenAt < coldTime}, limit))
 	}
 	return list
 }
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/cold"
 	"ebonyrill.dev/ebonyrill/internal/entry/relay"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
@@ -31,6 +32,8 @@
 	Proof string
 	// Leaving is set to 1 in the responses of an upstream that is leaving.
 	Leaving string
+	// Cold is how many milliseconds longer the upstream that sends a response is cold.
+	Cold string
 	// Key holds the numbered key of a request.
 	Key string
 }
@@ -56,6 +59,8 @@
 	Headers    HeaderNames
 	Table      *route.Table
 	Retries    retry.Limits
+	// Cold is how far the requests that arrive at a cold upstream may exceed the rate that its service states.
+	Cold cold.Allowance
 	// Address is the address at which other entry hosts reach this one.
 	Address string
 	// ControlReachable reports whether a control host has responded recently; otherwise this host assigns no slots.
@@ -83,6 +88,7 @@
 	ReasonNotReached  Reason = "notReached"
 	ReasonTurnedAway  Reason = "turnedAway"
 	ReasonPaused      Reason = "paused"
+	ReasonCold        Reason = "cold"
 	ReasonOverloaded  Reason = "overloaded"
 	ReasonUnanswered  Reason = "unanswered"
 	ReasonAmbiguous   Reason = "ambiguous"
--- a/internal/entry/sched/acquire.go
+++ b/internal/entry/sched/acquire.go
@@ -15,8 +15,17 @@
 	subset    Subset
 	id        uint64
 	Upstream  uint32
+	// permitEnd is when the permit ends, zero if the slot is none. sent is set once the request may have been sent.
+	permitEnd time.Duration
+	sent      bool
 }
 
+// Permit reports whether the slot is a permit at a cold upstream, and after which time its request must not be sent.
+func (s *Slot) Permit() (end time.Duration, ok bool) { return s.permitEnd, s.permitEnd > 0 }
+
+// MarkSent records that the request is about to be sent. The permit of a slot that is released without it is granted again.
+func (s *Slot) MarkSent() { s.sent = true }
+
 // ErrRejected is returned when the scheduler rejects a slot request. After is the estimated time until a slot is free.
 type ErrRejected struct {
 	Decision Decision
@@ -129,7 +138,8 @@
 // acquireFromHost asks one host for a slot. While the request is queued there it sends the slot request again every pollPeriod.
 // It returns ErrNoScheduler if the host does not reply or schedules no slots.
 func (n *Node) acquireFromHost(ctx context.Context, h Host, sub Subset, request SlotRequest) (s *Slot, err error) {
-	expires := n.options.Clock() + request.Timeout
+	submittedAt := n.options.Clock()
+	expires := submittedAt + request.Timeout
 	n.mutex.Lock()
 	n.nextID++
 	request.ID = n.nextID
@@ -147,7 +157,7 @@
 			unanswered = -1
 			switch r.Decision {
 			case Assigned:
-				return &Slot{node: n, scheduler: h.Address, subset: sub, id: request.ID, Upstream: r.Upstream}, nil
+				return &Slot{node: n, scheduler: h.Address, subset: sub, id: request.ID, Upstream: r.Upstream, permitEnd: r.permitEnd(submittedAt, n.options.Clock())}, nil
 			case NotScheduling:
 				return nil, &ErrNoScheduler{}
 			case Queued:
@@ -158,11 +168,11 @@
 			n.setHint(sub, r.After)
 			return nil, &ErrRejected{Decision: r.Decision, After: r.After}
 		case <-ctx.Done():
-			n.sendResult(h.Address, sub, Result{ID: request.ID, Completion: Abandoned})
+			n.sendResult(h.Address, sub, Result{ID: request.ID, Completion: Abandoned, Unsent: true})
 			return nil, ctx.Err()
 		case <-timer.C:
 			if unanswered++; unanswered == len(replyTimeouts) {
-				n.sendResult(h.Address, sub, Result{ID: request.ID, Completion: Abandoned})
+				n.sendResult(h.Address, sub, Result{ID: request.ID, Completion: Abandoned, Unsent: true})
 				return nil, &ErrNoScheduler{}
 			}
 			if unanswered > 0 {
@@ -214,6 +224,6 @@
 
 // Finish releases the slot and reports the outcome of its request to the scheduler.
 func (s *Slot) Finish(r Result) {
-	r.ID = s.id
+	r.ID, r.Unsent = s.id, !s.sent
 	s.node.sendResult(s.scheduler, s.subset, r)
 }
--- a/internal/entry/sched/node.go
+++ b/internal/entry/sched/node.go
@@ -85,6 +85,7 @@
 	delayed      map[destination]*packet
 	hints        map[Subset]hint
 	nextID       uint64
+	permits      permitCounts
 	// directories and ranked are derived from the routing table, as of the last call of Update.
 	directories map[string]*directory
 	ranked      map[Subset][]Host
@@ -172,6 +173,7 @@
 	s := n.schedulers[sub]
 	if s == nil {
 		s = NewScheduler(n.options.Retries)
+		s.permits = &n.permits
 		n.setUpstreams(now, sub, s)
 		n.schedulers[sub] = s
 	}
@@ -311,6 +313,13 @@
 	return busy, waiting
 }
 
+// Permits returns the number of permits for cold upstreams that this host's schedulers have granted, and of requests that waited for one.
+func (n *Node) Permits() (granted, waited int64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.permits.granted, n.permits.waited
+}
+
 // Update updates all schedulers of this host to the current table and drops those with neither upstreams nor requests.
 func (n *Node) Update() {
 	now := n.options.Clock()
--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -39,9 +39,7 @@
 			continue
 		}
 		s.dequeue(j)
-		j.state = u
-		u.busy++
-		replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: Assigned, Upstream: u.upstream.Number}})
+		replies = append(replies, s.assign(now, j, u))
 		if free--; free == 0 {
 			break
 		}
@@ -132,7 +130,7 @@
 // better upstream should be free soon enough, taking into account the number of requests ahead of it.
 func (s *Scheduler) choose(c *costs, j *job, ahead int) (best *upstreamState) {
 	if j.request.Upstream != 0 {
-		if u := s.upstreams[j.request.Upstream]; u != nil && u.busy < u.limit() {
+		if u := s.upstreams[j.request.Upstream]; u != nil && u.busy < u.limit() && u.cold.grantable(c.now) {
 			return u
 		}
 		return nil
@@ -140,7 +138,7 @@
 	lowest, lowestBusy := math.Inf(1), math.Inf(1)
 	list := c.forDataCentre(j.request.DataCentre)
 	for i, u := range c.reachable {
-		if !eligible(j, u) {
+		if !eligible(j, u) || !u.available(c.now) {
 			continue
 		}
 		cost := list[i]
@@ -169,7 +167,7 @@
 	slots, sum := 0, 0.0
 	for i, own := range c.forDataCentre(j.request.DataCentre) {
 		u := c.reachable[i]
-		if u.busy >= u.limit() && own+minAdvantage < cost && eligible(j, u) {
+		if u.busy >= u.limit() && own+minAdvantage < cost && eligible(j, u) && u.available(c.now) {
 			slots += u.limit()
 			sum += own * float64(u.limit())
 		}
@@ -194,7 +192,7 @@
 	if u.upstream.DataCentre != dataCentre {
 		cost += remoteCost
 	}
-	if u.upstream.Cold {
+	if u.upstream.Cold || u.cold.left(now) > 0 {
 		cost += coldCost
 	}
 	return cost
@@ -216,25 +214,30 @@
 	slots           int
 	free            int
 	latencyRatioSum float64
+	cold            coldCapacity
 }
 
 // capacityFor returns the capacity available to a request.
 func (s *Scheduler) capacityFor(now time.Duration, j *job) (c capacity) {
 	if j.request.Upstream != 0 {
 		if u := s.upstreams[j.request.Upstream]; u != nil {
-			c.add(u)
+			c.add(now, u)
 		}
 		return c
 	}
 	for _, u := range s.upstreams {
 		if eligible(j, u) && !u.unreachable(now) {
-			c.add(u)
+			c.add(now, u)
 		}
 	}
 	return c
 }
 
-func (c *capacity) add(u *upstreamState) {
+func (c *capacity) add(now time.Duration, u *upstreamState) {
+	if u.cold.left(now) > 0 {
+		c.cold.add(now, u)
+		return
+	}
 	c.slots += u.limit()
 	c.free += max(u.limit()-u.busy, 0)
 	c.latencyRatioSum += u.latencyRatio * float64(u.limit())
@@ -242,6 +245,9 @@
 
 // wait estimates the time until a slot is free for a request that has the given number of requests ahead of it.
 func (c capacity) wait(avgTime time.Duration, ahead int) time.Duration {
+	if c.cold.slots > 0 {
+		return c.cold.wait(c, avgTime, ahead)
+	}
 	if c.slots == 0 {
 		return connectFailureTTL // no reachable upstream until the connect failures expire
 	}
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -42,6 +42,7 @@
 	connectFailures map[string]time.Duration
 	// usedBy holds when entry hosts last finished a request there, while they may have an idle connection.
 	usedBy map[string]time.Duration
+	cold   coldState
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
@@ -53,6 +54,7 @@
 	expires time.Duration
 	due     time.Duration
 	state   *upstreamState
+	permit  permit
 }
 
 // Scheduler schedules the slots of one subset of a service's upstreams. It reads no clock and takes no lock. Its methods return
@@ -65,11 +67,13 @@
 	avgTime   time.Duration
 	retries   *retry.Window
 	baseShare float64
+	permits   *permitCounts
 }
 
 // NewScheduler returns a scheduler without upstreams whose retry budget has the given limits.
 func NewScheduler(limits retry.Limits) *Scheduler {
-	return &Scheduler{upstreams: map[uint32]*upstreamState{}, jobs: map[Key]*job{}, avgTime: initialAvgTime, retries: retry.NewWindow(limits, retryShare)}
+	return &Scheduler{upstreams: map[uint32]*upstreamState{}, jobs: map[Key]*job{}, avgTime: initialAvgTime, retries: retry.NewWindow(limits, retryShare),
+		permits: &permitCounts{}}
 }
 
 // SetUpstreams sets the upstreams to those of the routing table. baseShare is this subset's share of the service's base retry
@@ -85,6 +89,7 @@
 			s.upstreams[upstream.Number] = u
 		}
 		u.upstream = upstream
+		u.cold.update(now, upstream)
 	}
 	for number := range s.upstreams {
 		if !known[number] {
@@ -128,6 +133,7 @@
 	s.enqueue(j)
 	replies = s.dispatch(now)
 	if j.state == nil && s.jobs[key] == j {
+		s.countWait(now, j)
 		replies = append(replies, addressedReply{key, s.replyTo(now, j)})
 	}
 	return replies
@@ -148,7 +154,7 @@
 // replyTo returns the reply that states the job's current state.
 func (s *Scheduler) replyTo(now time.Duration, j *job) Reply {
 	if j.state != nil {
-		return Reply{ID: j.key.ID, Decision: Assigned, Upstream: j.state.upstream.Number}
+		return j.assigned()
 	}
 	return Reply{ID: j.key.ID, Decision: Queued, After: s.expectedWait(now, j)}
 }
@@ -162,6 +168,7 @@
 	s.remove(j)
 	if u := j.state; u != nil {
 		s.recordResult(now, u, host, r)
+		j.recordCold(now, r)
 	}
 	return s.dispatch(now)
 }
--- a/internal/entry/sched/types.go
+++ b/internal/entry/sched/types.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/cold"
 )
 
 // Key identifies a slot request across all entry hosts.
@@ -48,13 +50,16 @@
 	NotScheduling
 )
 
-// Reply is the scheduler's reply to a slot request.
+// Reply is the scheduler's reply to a slot request. If PermitEnd is above zero, the slot is a permit at a cold upstream, which ends that
+// long after the scheduler received the request.
 type Reply struct {
 	_        struct{} `cbor:",toarray"`
 	ID       uint64
 	Decision Decision
 	Upstream uint32
 	After    time.Duration
+
+	PermitEnd time.Duration
 }
 
 // Completion is how a request that had a slot ended.
@@ -74,7 +79,8 @@
 	Abandoned
 )
 
-// Result reports how a request ended and releases its slot. Took is the time that the upstream needed.
+// Result reports how a request ended and releases its slot. Took is the time that the upstream needed. Unsent is set if no byte of the
+// request was sent, and ColdLeft is how much longer the upstream is cold, as far as the sender knows and the scheduler may not.
 type Result struct {
 	_          struct{} `cbor:",toarray"`
 	ID         uint64
@@ -82,6 +88,8 @@
 	Took       time.Duration
 	Running    int
 	Waiting    int
+	Unsent     bool
+	ColdLeft   time.Duration
 }
 
 // addressedReply is a reply with the key of the slot request that it answers.
@@ -91,11 +99,14 @@
 }
 
 // Upstream describes an upstream to the scheduler. Slots is the number of requests that it runs at a time. Draining upstreams get
-// only requests that name them. Cold marks one that started recently and may still be slow.
+// only requests that name them. Cold marks one that started recently and may still be slow. ColdLeft is how much longer it is cold, and
+// Permits limits the requests that it gets meanwhile.
 type Upstream struct {
 	Number     uint32
 	Slots      int
 	DataCentre string
 	Draining   bool
 	Cold       bool
+	ColdLeft   time.Duration
+	Permits    cold.Limit
 }
--- a/internal/entry/stats/recorder.go
+++ b/internal/entry/stats/recorder.go
@@ -145,7 +145,8 @@
 // brokerCategory is the counterpart of relayCategory for requests that the broker handled.
 func brokerCategory(r broker.Record) burn.Category {
 	switch {
-	case r.Reason == broker.ReasonOverloaded || r.Reason == broker.ReasonTurnedAway || r.Reason == broker.ReasonPaused:
+	case r.Reason == broker.ReasonOverloaded || r.Reason == broker.ReasonTurnedAway || r.Reason == broker.ReasonPaused ||
+		r.Reason == broker.ReasonCold:
 		return burn.Shed
 	case r.Reason == broker.ReasonNoOwner:
 		return burn.Moved
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -97,6 +97,14 @@
 		_, _, resent := d.broker.SchedulerNode().Traffic()
 		return resent
 	})
+	counter("ebonyrill_cold_permits_total", "Permits to send a request to a cold upstream that this host has granted.", func() int64 {
+		granted, _ := d.broker.SchedulerNode().Permits()
+		return granted
+	})
+	counter("ebonyrill_cold_waits_total", "Requests that had to wait for such a permit of this host.", func() int64 {
+		_, waited := d.broker.SchedulerNode().Permits()
+		return waited
+	})
 	counter("ebonyrill_upstream_connections_total", "Connections opened to upstreams.", func() int64 {
 		dials, _ := d.broker.Pool().Counts()
 		return dials
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -30,6 +30,9 @@
 	ExcludedHome    string `cbor:"13,keyasint,omitempty" json:"excludedHome,omitempty"`
 	// Reports is set if the upstream reports the keys that it holds; its report then releases keys before the lease expires.
 	Reports bool `cbor:"14,keyasint,omitempty" json:"reports,omitempty"`
+	// ColdLeft is how much longer the upstream was cold when version ColdVersion of the table was committed, which last set it.
+	ColdLeft    time.Duration `cbor:"16,keyasint,omitempty" json:"coldLeft,omitempty"`
+	ColdVersion uint64        `cbor:"17,keyasint,omitempty" json:"coldVersion,omitempty"`
 }
 
 // Process identifies an upstream process. An upstream that was lost and joins again has another number and is the same process.
