table, state, lease, group: how long upstreams are cold

Entry hosts did not learn that an upstream is cold: control ignored cold-left-ms. The table now holds the time as of its commit, with the version that set it. It changes when an upstream joins, says that it is cold beyond what is known, or says that it is warm; an upstream that was silent for over 2 s and says that it is cold counts as cold for the whole cold start. Changes of many upstreams share a command.

--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -49,6 +49,7 @@
 	redundant    bool // whether changes could be acknowledged, as last logged
 	since        time.Duration
 	latencies    latencies
+	coldChanges  []state.ColdUpstream // noted by reviewCold and not proposed yet
 }
 
 // serviceState is the leader's state of one service. changeIndex and boundsChangeIndex are log indexes: of the last
@@ -73,6 +74,7 @@
 	name     string
 	service  string
 	joinedAt time.Duration
+	cold     lease.ColdTime
 }
 
 // leaseLoss records that an upstream was removed because its lease expired or a newer process replaced it.
@@ -93,7 +95,7 @@
 		joining: map[string]uint64{}, leaving: map[table.Process]bool{}, health: place.NewHealth(), ejected: map[uint32]bool{},
 		excludedAt: map[uint32]time.Duration{}, joinRequests: map[raft.ReplicaID]joinRequest{}, latencies: newLatencies()}
 	for _, u := range s.Upstreams() {
-		l.upstreams[u.Number] = &upstreamInfo{name: u.Name, service: u.Service, joinedAt: settledJoinTime}
+		l.upstreams[u.Number] = &upstreamInfo{name: u.Name, service: u.Service, joinedAt: settledJoinTime, cold: lease.NewColdTime(now, 0)}
 	}
 	l.sync(now, s)
 	return l
@@ -122,6 +124,7 @@
 		g.logLeaseLosses(c)
 		g.proposeNoWait(c)
 	}
+	g.proposeCold(l)
 	if g.state.Index() < l.pendingIndex {
 		return
 	}
@@ -188,7 +191,7 @@
 func (l *leaderState) syncUpstreams(now time.Duration, s *state.State) {
 	for _, u := range s.Upstreams() {
 		if l.upstreams[u.Number] == nil {
-			l.upstreams[u.Number] = &upstreamInfo{name: u.Name, service: u.Service, joinedAt: now}
+			l.upstreams[u.Number] = &upstreamInfo{name: u.Name, service: u.Service, joinedAt: now, cold: lease.NewColdTime(now, u.ColdLeft)}
 		}
 	}
 	for number, info := range l.upstreams {
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -154,6 +154,9 @@
 	}
 	answer := l.leases.RenewUpstream(now, g.state, a)
 	u, _ := g.state.UpstreamNamed(a.Name)
+	if answer.Status == table.GrantHeld {
+		g.reviewCold(now, l, u, a)
+	}
 	if answer.Status == table.GrantHeld && a.Reports {
 		answer.Pending = g.finishHandovers(now, u)
 		if n := l.leases.TakeUnproven(u.Number); n > 0 {
@@ -177,7 +180,8 @@
 		g.options.Log.Write(events.UpstreamJoined, zap.String("upstream", a.Name), zap.Uint64("incarnation", a.Incarnation))
 		g.proposeNoWait(state.Command{JoinUpstream: &table.Upstream{Name: a.Name, Incarnation: a.Incarnation,
 			Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, ChecksFence: a.ChecksFence,
-			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Reports: a.Reports}})
+			ChecksRequestID: a.ChecksRequestID, Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Reports: a.Reports,
+			ColdLeft: g.coldOnJoin(a)}})
 	}
 	if a.Leaving && answer.Status != table.GrantJoining && answer.Status != table.GrantRefused {
 		answer.Left = g.recordLeaving(l, a.Process(), "heartbeat")
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -18,6 +18,7 @@
 	Plan          *Plan            `cbor:"7,keyasint,omitempty"`
 	ExcludeHome   *ExcludeHome     `cbor:"8,keyasint,omitempty"`
 	Patch         *Patch           `cbor:"9,keyasint,omitempty"`
+	SetCold       *SetCold         `cbor:"12,keyasint,omitempty"`
 }
 
 // Publish replaces all service files if Base is still the version of the configuration in force.
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -119,6 +119,8 @@
 		return s.excludeHome(*c.ExcludeHome), nil
 	case c.Patch != nil:
 		return s.patch(*c.Patch), nil
+	case c.SetCold != nil:
+		return s.setCold(*c.SetCold), nil
 	}
 	return Result{}, errors.New("unknown command")
 }
@@ -322,6 +324,9 @@
 		return Result{Rejection: "this or a newer incarnation of " + u.Name + " has ended"}
 	}
 	u.Number, u.GrantsVersion = s.nextNumber, s.index
+	if u.ColdLeft > 0 {
+		u.ColdVersion = s.index
+	}
 	s.nextNumber++
 	s.upstreams = append(s.upstreams, u)
 	s.numberByName[u.Name] = u.Number
