--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -26,7 +26,7 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
-var headerNames = HeaderNames{RequestID: "Id", TimeLeft: "Left", Instance: "Instance", NotRun: "Not-Run", Load: "Load", Proof: "Proof", Leaving: "Leaving", Key: "Key"}
+var headerNames = HeaderNames{RequestID: "Id", TimeLeft: "Left", Instance: "Instance", NotRun: "Not-Run", Load: "Load", Proof: "Proof", Leaving: "Leaving", Key: "Key", Cold: "Cold"}
 
 // testUpstream is an upstream with a handler given by the test; it keeps the requests that it receives.
 type testUpstream struct {
