sched, lease, broker: shorter tests of cold upstreams; the replay fails without permits

The replay of a cold data centre passed on code that granted every permit, as slots alone kept requests of 0.19 s below the bound. It now replays slot searches of 80 ms, with which such code sends 16 in a second.

--- a/internal/control/group/cold_test.go
+++ b/internal/control/group/cold_test.go
@@ -28,15 +28,13 @@
 		return u
 	}
 	joined := hear(2900 * time.Millisecond)
-	w.c.Assert(joined.ColdLeft > 3*time.Second, qt.IsTrue)
-	w.c.Assert(joined.ColdVersion > 0, qt.IsTrue)
+	w.c.Assert(joined.ColdLeft > 3*time.Second && joined.ColdVersion > 0, qt.IsTrue)
 	w.c.Assert(hear(2500*time.Millisecond), qt.Equals, joined)
 	warm := hear(0)
 	w.c.Assert(warm.ColdLeft, qt.Equals, time.Duration(0))
 	w.c.Assert(hear(0), qt.Equals, warm)
 	again := hear(2 * time.Second)
-	w.c.Assert(again.ColdLeft > 2*time.Second, qt.IsTrue)
-	w.c.Assert(again.ColdVersion > warm.ColdVersion, qt.IsTrue)
+	w.c.Assert(again.ColdLeft > 2*time.Second && again.ColdVersion > warm.ColdVersion, qt.IsTrue)
 	data, err := w.leader().group.state.Encode()
 	w.c.Assert(err, qt.IsNil)
 	restored, err := state.Decode(data)
--- a/internal/control/lease/cold_test.go
+++ b/internal/control/lease/cold_test.go
@@ -34,19 +34,15 @@
 	heard(9002*time.Millisecond, 0, 0, false)
 	heard(11003*time.Millisecond, time.Second, 3*time.Second+coldMargin, true) // not heard of for more than maxSilence
 	heard(12*time.Second, time.Hour, maxColdTime+coldMargin, true)
+	cold, listed.ColdLeft = NewColdTime(0, 0), 3*time.Second // a new leader must not assume a longer time than entry hosts count
+	heard(0, 400*time.Millisecond, 400*time.Millisecond+coldMargin, true)
 }
 
-// TestNewLeaderSetsColdAgain guards against a new leader that assumes a longer time than entry hosts count.
-func TestNewLeaderSetsColdAgain(t *testing.T) {
-	cold := NewColdTime(0, 0)
-	_, set := cold.Heard(100*time.Millisecond, table.Announcement{WarmIn: 400 * time.Millisecond}, coldService, table.Upstream{ColdLeft: 3 * time.Second})
-	qt.Check(t, set, qt.IsTrue)
-}
-
+// TestColdOnJoin guards against a process that has just started and counts as warm.
 func TestColdOnJoin(t *testing.T) {
-	c := qt.New(t)
-	c.Check(ColdOnJoin(table.Announcement{}, coldService, false), qt.Equals, time.Duration(0))
-	c.Check(ColdOnJoin(table.Announcement{}, coldService, true), qt.Equals, 3*time.Second+coldMargin)
-	c.Check(ColdOnJoin(table.Announcement{WarmIn: time.Second}, coldService, false), qt.Equals, 3*time.Second+coldMargin)
-	c.Check(ColdOnJoin(table.Announcement{WarmIn: time.Second}, items.Service{}, true), qt.Equals, time.Duration(0))
+	cold := table.Announcement{WarmIn: time.Second}
+	qt.Check(t, ColdOnJoin(table.Announcement{}, coldService, false), qt.Equals, time.Duration(0))
+	qt.Check(t, ColdOnJoin(table.Announcement{}, coldService, true), qt.Equals, 3*time.Second+coldMargin)
+	qt.Check(t, ColdOnJoin(cold, coldService, false), qt.Equals, 3*time.Second+coldMargin)
+	qt.Check(t, ColdOnJoin(cold, items.Service{}, true), qt.Equals, time.Duration(0))
 }
--- a/internal/entry/broker/cold_test.go
+++ b/internal/entry/broker/cold_test.go
@@ -71,12 +71,11 @@
 	f.c.Check(j.checkPermit(u), qt.IsNil)
 	time.Sleep(cold.PermitLifetime)
 	f.c.Check(j.checkPermit(u), qt.Equals, errPermitEnded)
-	for i := 1; i < maxColdRefusals; i++ {
-		_, again := j.refusedCold(u, 0)
-		f.c.Check(again, qt.IsTrue)
+	for i := range maxColdRefusals {
+		resp, again := j.refusedCold(u, 0)
+		f.c.Check(again, qt.Equals, i < maxColdRefusals-1)
+		f.c.Check(again || resp.Status == http.StatusServiceUnavailable, qt.IsTrue)
 	}
-	resp, again := j.refusedCold(u, 0)
-	f.c.Check(resp.Status == http.StatusServiceUnavailable && !again, qt.IsTrue)
 }
 
 // TestResponseStatesCold guards against an upstream that is taken for warm although its response says that it is cold.
--- a/internal/entry/sched/cold_test.go
+++ b/internal/entry/sched/cold_test.go
@@ -24,46 +24,38 @@
 	return list
 }
 
-// TestReplayOfColdDataCentre replays 2,800 requests a second, nine tenths of what 200 upstreams can run, while one of two data centres with
+// TestReplayOfColdDataCentre replays 6,700 slot searches a second, nine tenths of what 200 upstreams can run, while one of two data centres with
 // 100 upstreams each is cold for three seconds, and other schedulers take over between 1 and 1.5 s, during which both are used. It guards
 // against more than 15.05 arrivals at a cold upstream in any second, and against warm upstreams that are left idle.
 func TestReplayOfColdDataCentre(t *testing.T) {
 	c := qt.New(t)
 	random := rand.New(rand.NewPCG(7, 8))
-	list := coldUpstreams(0, 100)
-	first := newSubsetReplay(newDirectory(NewSubsets("s", list), list))
-	var second *subsetReplay
-	subsets := first.directory.usable
-	owner := map[uint64]*Scheduler{}
-	now, warm := time.Duration(0), 0
-	arrivals := map[uint32][]time.Duration{}
+	newReplay := func(now time.Duration) *subsetReplay {
+		list := coldUpstreams(now, 100)
+		sr := newSubsetReplay(newDirectory(NewSubsets("s", list), list))
+		for sub, s := range sr.schedulers {
+			s.SetUpstreams(now, sr.directory.members[sub], 1)
+		}
+		return sr
+	}
+	replays, owner, arrivals := []*subsetReplay{newReplay(0)}, map[uint64]*Scheduler{}, map[uint32][]time.Duration{}
+	now, warm, most, total := time.Duration(0), 0, 0, 0
 	record := func(replies []addressedReply) []addressedReply {
 		for _, a := range replies {
-			if a.reply.Decision != Assigned || now >= 3*time.Second {
-				continue
-			}
-			if a.reply.Upstream <= 100 {
+			if u := a.reply.Upstream; a.reply.Decision == Assigned && now < 3*time.Second && u > 100 {
+				c.Assert(a.reply.PermitEnd > 0, qt.IsTrue)
+				arrivals[u] = append(arrivals[u], now+time.Duration(random.Int64N(int64(350*time.Millisecond))))
+			} else if a.reply.Decision == Assigned && now < 3*time.Second {
 				warm++
-				continue
 			}
-			c.Assert(a.reply.PermitEnd > 0, qt.IsTrue)
-			arrivals[a.reply.Upstream] = append(arrivals[a.reply.Upstream], now+time.Duration(random.Int64N(int64(350*time.Millisecond))))
 		}
 		return replies
 	}
 	replay{
-		submit: func(at time.Duration, id uint64) []addressedReply {
-			now = at
-			if second == nil && now >= time.Second {
-				list = coldUpstreams(now, 100)
-				second = newSubsetReplay(newDirectory(NewSubsets("s", list), list))
-				for sub, s := range second.schedulers {
-					s.SetUpstreams(now, second.directory.members[sub], 1)
-				}
-			}
-			sr := first
-			if second != nil && (now >= 1500*time.Millisecond || random.IntN(2) == 0) {
-				sr = second
+		submit: func(_ time.Duration, id uint64) []addressedReply {
+			sr := replays[random.IntN(len(replays))]
+			if now >= 1500*time.Millisecond {
+				sr = replays[1]
 			}
 			sub, replies := sr.submit(now, SlotRequest{ID: id, Priority: 1, Timeout: replayTimeout, Objective: replayObjective, DataCentre: []string{"d0", "d1"}[id%2]})
 			owner[id] = sr.schedulers[sub]
@@ -71,25 +63,25 @@
 		},
 		work: func(u uint32) time.Duration {
 			if u > 100 && now < 3*time.Second {
-				return 380 * time.Millisecond
+				return 160 * time.Millisecond
 			}
-			return 190 * time.Millisecond
+			return 80 * time.Millisecond
 		},
-		finish: func(at time.Duration, r runningRequest) []addressedReply {
-			return record(owner[r.id].Finish(at, "h", Result{ID: r.id, Completion: Answered, Took: at - r.started}))
+		finish: func(_ time.Duration, r runningRequest) []addressedReply {
+			return record(owner[r.id].Finish(now, "h", Result{ID: r.id, Completion: Answered, Took: now - r.started}))
 		},
 		tick: func(at time.Duration) (replies []addressedReply) {
-			for _, sr := range []*subsetReplay{first, second} {
-				for _, sub := range subsets {
-					if sr != nil && at%(15*time.Millisecond) == 0 {
-						replies = append(replies, sr.schedulers[sub].Tick(at)...)
-					}
+			if now = at; now == time.Second {
+				replays = append(replays, newReplay(now))
+			}
+			for _, sr := range replays {
+				for _, sub := range sr.directory.usable {
+					replies = append(replies, sr.schedulers[sub].Tick(now)...)
 				}
 			}
 			return record(replies)
 		},
-	}.run(workload{perSec: 2800}.arrivals(random)[:2800*4], 4*time.Second)
-	most, total := 0, 0
+	}.run(workload{perSec: 6700}.arrivals(random)[:6700*4], 4*time.Second)
 	for _, times := range arrivals {
 		slices.Sort(times)
 		total += len(times)
@@ -101,7 +93,7 @@
 	t.Logf("most arrivals in a second at a cold upstream %d, cold %d, warm %d", most, total, warm)
 	c.Check(most <= 15, qt.IsTrue)
 	c.Check(total > 500, qt.IsTrue)
-	c.Check(float64(warm) >= 0.9*3*100*3/0.19, qt.IsTrue)
+	c.Check(float64(warm) >= 0.9*3*100*3/0.08, qt.IsTrue)
 }
 
 // newColdScheduler returns a scheduler with one upstream that is cold for ten seconds, at a time when its bucket is full.
