--- a/internal/control/lease/cold.go
+++ b/internal/control/lease/cold.go
@@ -10,7 +10,7 @@
 // Parameters of the time for which upstreams are cold.
 const (
 	maxSilence  = 2 * time.Second        // an upstream that was not heard of for longer may have been cold in between
-	coldMargin  = 250 * time.Millisecond // added to the time that an upstream states; heartbeats take up to this much longer at one time than at another
+	coldMargin  = 250 * time.Millisecond // added to the time that an upstream states, for heartbeats with different delays
 	maxColdTime = time.Minute            // longest time that is kept; an upstream that stays cold states it again
 )
 
--- a/internal/entry/broker/cold_test.go
+++ b/internal/entry/broker/cold_test.go
@@ -63,7 +63,8 @@
 	f.c.Check(granted, qt.Equals, int64(1))
 	u := f.mustUpstream(3)
 	match, _ := f.table.View().Items().Router().Find("h", "/keep/x")
-	j := &job{broker: f.broker, request: f.request("/keep/x"), match: match, service: "keyed", keyed: true, expires: clock.Boot() + time.Second}
+	j := &job{broker: f.broker, request: f.request("/keep/x"), match: match, service: "keyed", keyed: true,
+		expires: clock.Boot() + time.Second}
 	f.c.Check(j.checkPermit(u), qt.Equals, errCold)
 	r, err := j.requestSlot(t.Context(), 3, false)
 	f.c.Assert(err, qt.IsNil)
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -170,8 +170,8 @@
 	defer t.mutex.Unlock()
 	for _, u := range upstreams {
 		s := t.get(now, u)
-		list = append(list, s.withCold(now, sched.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre, Draining: u.Leaving || leaving[u.Number],
-			Cold: now-s.seenAt < coldTime}, limit))
+		list = append(list, s.withCold(now, sched.Upstream{Number: u.Number, Slots: u.Slots, DataCentre: u.DataCentre,
+			Draining: u.Leaving || leaving[u.Number], Cold: now-s.seenAt < coldTime}, limit))
 	}
 	return list
 }
--- a/internal/entry/cold/cold_test.go
+++ b/internal/entry/cold/cold_test.go
@@ -25,7 +25,8 @@
 // and requests that are not sent. It guards against more arrivals in any one second than the allowance.
 func TestArrivalsStayBelowBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		rate, overrun, slack := rapid.Float64Range(0.5, 20).Draw(t, "rate"), rapid.Float64Range(1, 3).Draw(t, "overrun"), rapid.Float64Range(0, 20).Draw(t, "slack")
+		rate, overrun := rapid.Float64Range(0.5, 20).Draw(t, "rate"), rapid.Float64Range(1, 3).Draw(t, "overrun")
+		slack := rapid.Float64Range(0, 20).Draw(t, "slack")
 		var arrivals []time.Duration
 		for range schedulers {
 			b := NewBucket(0, NewAllowance(overrun, slack).Limit(rate))
--- a/internal/entry/sched/acquire.go
+++ b/internal/entry/sched/acquire.go
@@ -157,7 +157,8 @@
 			unanswered = -1
 			switch r.Decision {
 			case Assigned:
-				return &Slot{node: n, scheduler: h.Address, subset: sub, id: request.ID, Upstream: r.Upstream, permitEnd: r.permitEnd(submittedAt, n.options.Clock())}, nil
+				return &Slot{node: n, scheduler: h.Address, subset: sub, id: request.ID, Upstream: r.Upstream,
+					permitEnd: r.permitEnd(submittedAt, n.options.Clock())}, nil
 			case NotScheduling:
 				return nil, &ErrNoScheduler{}
 			case Queued:
--- a/internal/entry/sched/cold.go
+++ b/internal/entry/sched/cold.go
@@ -29,7 +29,7 @@
 	c.turnedCold(now, before)
 }
 
-// maxTold is the longest time for which an entry host's word on an upstream counts.
+// maxTold is the longest time for which an upstream counts as cold because of the result of one request.
 const maxTold = time.Minute
 
 // tell applies what an entry host knows of the upstream.
@@ -50,8 +50,8 @@
 // grantable reports whether the upstream is warm, or a permit for it can be granted.
 func (c *coldState) grantable(now time.Duration) bool { return c.left(now) == 0 || c.bucket.Ready(now) }
 
-// available reports whether a request that names no upstream may run at this one or wait for it. It does not wait for a cold one, as another
-// one is warm sooner or has a permit.
+// available reports whether a request that names no upstream may run at this one or wait for one of its slots. A cold upstream is available
+// only if it has a free slot and a permit, so that no request waits for it that a warm one can run.
 func (u *upstreamState) available(now time.Duration) bool {
 	return u.cold.left(now) == 0 || u.cold.bucket.Ready(now) && u.busy < u.limit()
 }
@@ -112,7 +112,8 @@
 // countWait counts a request that was not assigned if it waits for a permit and not only for a slot.
 func (s *Scheduler) countWait(now time.Duration, j *job) {
 	for _, u := range s.upstreams {
-		if (j.request.Upstream == u.upstream.Number || j.request.Upstream == 0 && eligible(j, u)) && u.busy < u.limit() && !u.cold.grantable(now) {
+		mayRun := j.request.Upstream == u.upstream.Number || j.request.Upstream == 0 && eligible(j, u)
+		if mayRun && u.busy < u.limit() && !u.cold.grantable(now) {
 			s.permits.waited++
 			return
 		}
--- a/internal/entry/sched/cold_test.go
+++ b/internal/entry/sched/cold_test.go
@@ -24,8 +24,8 @@
 	return list
 }
 
-// TestReplayOfColdDataCentre replays 6,700 slot searches a second, nine tenths of what 200 upstreams can run, while one of two data centres with
-// 100 upstreams each is cold for three seconds, and other schedulers take over between 1 and 1.5 s, during which both are used. It guards
+// TestReplayOfColdDataCentre replays 6,700 slot searches a second, nine tenths of what 200 upstreams can run. One of two data centres with
+// 100 upstreams each is cold for three seconds. Other schedulers take over between 1 and 1.5 s, during which both are used. It guards
 // against more than 15.05 arrivals at a cold upstream in any second, and against warm upstreams that are left idle.
 func TestReplayOfColdDataCentre(t *testing.T) {
 	c := qt.New(t)
@@ -57,7 +57,8 @@
 			if now >= 1500*time.Millisecond {
 				sr = replays[1]
 			}
-			sub, replies := sr.submit(now, SlotRequest{ID: id, Priority: 1, Timeout: replayTimeout, Objective: replayObjective, DataCentre: []string{"d0", "d1"}[id%2]})
+			sub, replies := sr.submit(now, SlotRequest{ID: id, Priority: 1, Timeout: replayTimeout,
+				Objective: replayObjective, DataCentre: []string{"d0", "d1"}[id%2]})
 			owner[id] = sr.schedulers[sub]
 			return record(replies)
 		},
