--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -130,6 +130,7 @@
 	lastResponse   *conns.Response
 	transfer       *link.Transfer
 	reason         Reason
+	coldRefusals   int
 }
 
 // Handle handles one request and returns its response, or nil if the caller has disconnected.
