evac, state, table: data centres out of service in the replicated state

Cause: no record said that nothing more may be sent to a data centre. Tests: TestChange, TestLimits, TestEvacuationsReachViews, TestRepeatedEvacuation.

--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -18,6 +18,7 @@
 	Plan          *Plan            `cbor:"7,keyasint,omitempty"`
 	ExcludeHome   *ExcludeHome     `cbor:"8,keyasint,omitempty"`
 	Patch         *Patch           `cbor:"9,keyasint,omitempty"`
+	Evacuate      *Evacuate        `cbor:"10,keyasint,omitempty"`
 }
 
 // Publish replaces all service files if Base is still the version of the configuration in force.
@@ -34,6 +35,15 @@
 	Items []items.Item `cbor:"1,keyasint"`
 }
 
+// Evacuate takes a data centre out of service, or back if Out is not set. By is the operator as far as known, At the leader's time as Unix
+// milliseconds.
+type Evacuate struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Out        bool   `cbor:"2,keyasint,omitempty"`
+	By         string `cbor:"3,keyasint,omitempty"`
+	At         int64  `cbor:"4,keyasint,omitempty"`
+}
+
 // DropUpstreams removes upstream incarnations. The proposer must have made certain that all their grants have ended. If their leases
 // expired, Sequences holds the sequence number of each one's last announcement; if they were replaced by newer processes, it is empty.
 type DropUpstreams struct {
@@ -102,7 +112,8 @@
 }
 
 // Result is returned to the proposer of a command when the command has been applied. Outcome is set for a publish, Number for an
-// upstream that joined, Changed for a patch (the number of changed items). Rejection is the reason if the command was
+// upstream that joined, Changed for a patch (the number of changed items)
+// and for an evacuation (0 or 1). Rejection is the reason if the command was
 // rejected, else empty.
 type Result struct {
 	Outcome   *table.PublishResult
--- a/internal/control/state/delta.go
+++ b/internal/control/state/delta.go
@@ -50,6 +50,7 @@
 		}
 	}
 	d.Items = s.itemsForEntries(func(k items.Key) bool { return changed[k] })
+	d.Evacuations = s.evacuationsSince(d.From)
 	for _, number := range slices.Sorted(maps.Keys(upstreams)) {
 		if u, ok := s.Upstream(number); ok {
 			d.Upstreams = append(d.Upstreams, u)
@@ -89,6 +90,7 @@
 	config := s.config
 	d.Full, d.Config, d.Upstreams, d.Entries = true, &config, s.Upstreams(), s.Entries()
 	d.Items = s.itemsForEntries(func(items.Key) bool { return true })
+	d.Evacuations = s.evacuations.ListOut()
 	for _, t := range s.tables {
 		d.Tables = append(d.Tables, table.SliceChanges{Service: t.name, All: t.set.Slices()})
 	}
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/evac"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -27,6 +28,7 @@
 	Tables       []table.SliceChanges  `cbor:"11,keyasint"`
 	Items        []items.Item          `cbor:"12,keyasint,omitempty"`
 	MoveReports  []moveReports         `cbor:"13,keyasint,omitempty"`
+	Evacuations  []evac.Record         `cbor:"14,keyasint,omitempty"`
 }
 
 // moveReports is the encoded form of sliceTable.reports of one service.
@@ -38,7 +40,8 @@
 // Encode returns the encoding of the state in a snapshot.
 func (s *State) Encode() ([]byte, error) {
 	m := snapshot{Index: s.index, Version: s.version, Config: s.config, Outcomes: s.outcomes, OutcomeFloor: s.outcomeFloor,
-		Upstreams: s.upstreams, NextNumber: s.nextNumber, Drained: s.drained, Incarnations: s.incarnations, Entries: s.entries, Items: s.items.All()}
+		Upstreams: s.upstreams, NextNumber: s.nextNumber, Drained: s.drained, Incarnations: s.incarnations, Entries: s.entries, Items: s.items.All(),
+		Evacuations: s.evacuations.All()}
 	for _, t := range s.tables {
 		m.Tables = append(m.Tables, table.SliceChanges{Service: t.name, All: t.set.Slices()})
 		if len(t.reports) > 0 {
@@ -60,7 +63,7 @@
 	}
 	s = &State{index: m.Index, version: m.Version, config: m.Config, outcomes: m.Outcomes, outcomeFloor: m.OutcomeFloor,
 		upstreams: m.Upstreams, nextNumber: m.NextNumber, drained: m.Drained, incarnations: m.Incarnations, entries: m.Entries,
-		journalFloor: m.Version, items: items.FromItems(m.Items)}
+		journalFloor: m.Version, items: items.FromItems(m.Items), evacuations: evac.NewSet(m.Evacuations)}
 	s.rebuildNameIndexes()
 	s.rebuildItemServices()
 	if s.services, err = conf.ParseSet(m.Config.Files); err != nil {
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/evac"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
@@ -44,6 +45,7 @@
 	numberByName map[string]uint32  // number of the newest incarnation by upstream name
 	newestByName map[string]knownIncarnation
 	journal      []journalEntry
+	evacuations  *evac.Set
 	journalFloor uint64 // version up to which journal entries are missing
 	digest       uint64
 	digestAt     uint64 // version that digest was computed at
@@ -76,18 +78,20 @@
 	Sequence uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// journalEntry is one change at a version: slices of a service, upstreams by number, entry hosts by name, or items by key.
+// journalEntry is one change at a version: slices of a service, upstreams by number, entry hosts by name, items by key, or data
+// centres taken out of service or back.
 type journalEntry struct {
 	version   uint64
 	changes   table.SliceChanges
 	upstreams []uint32
 	entries   []string
 	items     []items.Key
+	evacuated []string
 }
 
 // New returns an empty state.
 func New() *State {
-	s := &State{nextNumber: 1, items: items.NewSet()}
+	s := &State{nextNumber: 1, items: items.NewSet(), evacuations: evac.NewSet(nil)}
 	s.rebuildNameIndexes()
 	return s
 }
@@ -119,6 +123,8 @@
 		return s.excludeHome(*c.ExcludeHome), nil
 	case c.Patch != nil:
 		return s.patch(*c.Patch), nil
+	case c.Evacuate != nil:
+		return s.evacuate(*c.Evacuate), nil
 	}
 	return Result{}, errors.New("unknown command")
 }
--- a/internal/shared/table/types.go
+++ b/internal/shared/table/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/evac"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
@@ -87,6 +88,8 @@
 	RemovedEntries   []string       `cbor:"11,keyasint,omitempty"`
 	Items            []items.Item   `cbor:"12,keyasint,omitempty"`
 	Control          []ControlHost  `cbor:"13,keyasint,omitempty"`
+	// Evacuations are the data centres that were taken out of service or back; with Full, those out of service.
+	Evacuations []evac.Record `cbor:"14,keyasint,omitempty"`
 }
 
 // ControlHost is the address at which a control host accepts calls, and its data centre.
--- a/internal/shared/table/view.go
+++ b/internal/shared/table/view.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/evac"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/slice"
 )
@@ -24,9 +25,10 @@
 	items     *items.Set
 	control   []ControlHost
 	byService map[string][]Upstream
-	// hostsVersion is the version that last changed upstreams or entry hosts.
+	// hostsVersion is the version that last changed upstreams, entry hosts or evacuations.
 	hostsVersion uint64
 	unchecked    bool
+	evacuations  *evac.Set
 }
 
 // ErrNotNewer is returned for a delta that leads to an older version than the view's or does not start at the view's version.
@@ -52,7 +54,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: map[uint32]Upstream{}, sets: map[string]slice.Set{}, items: items.NewSet()}
+	return &View{upstreams: map[uint32]Upstream{}, sets: map[string]slice.Set{}, items: items.NewSet(), evacuations: evac.NewSet(nil)}
 }
 
 // Apply returns the view after the delta; the receiver is not changed.
@@ -62,8 +64,10 @@
 		return nil, &ErrNotNewer{Held: v.version, Offered: d.To}
 	}
 	next = &View{version: d.To, digest: v.digest, config: v.config, services: v.services, upstreams: v.upstreams,
-		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService, hostsVersion: v.hostsVersion, unchecked: v.unchecked}
+		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService, hostsVersion: v.hostsVersion, unchecked: v.unchecked,
+		evacuations: v.evacuations}
 	next.applyItems(d)
+	next.applyEvacuations(d)
 	if err = next.applyConfig(d.Config); err != nil {
 		return nil, err
 	}
@@ -132,7 +136,7 @@
 // Version returns the version of the view; zero means that no table was received yet.
 func (v *View) Version() uint64 { return v.version }
 
-// HostsVersion returns the version that last changed upstreams or entry hosts.
+// HostsVersion returns the version that last changed upstreams, entry hosts or which data centres are out of service.
 func (v *View) HostsVersion() uint64 { return v.hostsVersion }
 
 // Unchecked reports whether an upstream checks no fencing tokens; control then has to know which versions entry hosts apply.
