--- a/internal/control/group/lead.go
+++ b/internal/control/group/lead.go
@@ -375,7 +375,7 @@
 	switch {
 	case !l.leases.Live(now, u.Number) && !u.ChecksFence:
 		return place.Expired
-	case s.Drained(u):
+	case s.Drained(u) || s.OutOfService(u):
 		return place.Draining
 	case !l.leases.RecentlyRenewed(now, u.Number):
 		return place.Unresponsive
--- a/internal/control/group/serve.go
+++ b/internal/control/group/serve.go
@@ -38,6 +38,7 @@
 	wire.Handle(mux, oper.Patch, g.patchAsLeader)
 	wire.Handle(mux, oper.Items, func(ctx context.Context, r *oper.Empty) (*oper.ItemsResponse, error) { return g.Items(ctx, r) })
 	wire.Handle(mux, oper.Leave, g.leaveAsLeader)
+	wire.Handle(mux, oper.Evacuate, g.evacuateAsLeader)
 }
 
 // deliver receives messages from a peer. Messages that exceed the inbox are dropped, as the sender's core sends them again.
--- a/internal/control/group/status.go
+++ b/internal/control/group/status.go
@@ -16,7 +16,7 @@
 func (g *Group) status(ctx context.Context, _ *oper.Empty) (answer *oper.StatusResponse, err error) {
 	err = g.leaseRead(ctx, func(l *leaderState) error {
 		answer = &oper.StatusResponse{Term: g.core.Term(), Commit: g.core.CommitIndex(), TableVersion: g.state.Version(),
-			ConfigVersion: g.state.Config().Version, Handovers: l.leases.Handovers(), MovedShare: l.movedShare}
+			ConfigVersion: g.state.Config().Version, Handovers: l.leases.Handovers(), MovedShare: l.movedShare, Evacuations: g.state.Evacuations().All()}
 		g.statusMembers(answer)
 		g.statusEntries(l, answer)
 		g.statusUpstreams(l, answer)
@@ -82,7 +82,7 @@
 	for _, u := range g.state.Upstreams() {
 		o := owned[u.Number]
 		answer.Upstreams = append(answer.Upstreams, oper.UpstreamStatus{Upstream: u, Live: l.leases.Live(now, u.Number),
-			Draining: g.state.Drained(u), Slices: o.slices, Share: o.share, Rate: o.rate})
+			Draining: g.state.Drained(u) || g.state.OutOfService(u), Slices: o.slices, Share: o.share, Rate: o.rate})
 	}
 }
 
--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -291,12 +291,24 @@
 	if after.Config().Version != before.Config().Version {
 		a.options.Log.Write(events.ConfigInForce, zap.Uint64("version", after.Config().Version))
 	}
+	if after.Evacuations() != before.Evacuations() {
+		a.logEvacuations(after)
+	}
 	if after.Unchecked() || !a.HasLease() {
 		a.wakeRenewals()
 	}
 	return true
 }
 
+// logEvacuations logs which data centres are out of service.
+func (a *Agent) logEvacuations(v *table.View) {
+	var names []string
+	for _, r := range v.Evacuations().ListOut() {
+		names = append(names, r.DataCentre)
+	}
+	a.options.Log.Write(events.EvacuationsApplied, zap.Strings("out", names), zap.Uint64("version", v.Version()))
+}
+
 // updateControlHosts sets the addresses of the control hosts; those in this host's data centre are preferred.
 func (a *Agent) updateControlHosts(control []table.ControlHost) {
 	var local, remote []string
--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -127,6 +127,8 @@
 	now := b.options.Clock()
 	current, ok := b.options.Table.View().Upstream(u.Number)
 	switch {
+	case b.options.Table.View().Evacuated(u.DataCentre):
+		return errOutOfService
 	case !ok || !b.mayServe(now, current):
 		return errWithdrawn
 	case b.upstreams.notices.pause(now, current) > 0:
@@ -145,7 +147,7 @@
 	if isNotSent(err) {
 		result := resultConnectFailed
 		j.reason = ReasonNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errPaused) || errors.Is(err, retry.ErrStopping) {
+		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errOutOfService) || errors.Is(err, errPaused) || errors.Is(err, retry.ErrStopping) {
 			result = resultAbandoned
 		}
 		if errors.Is(err, errPaused) {
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -42,18 +42,23 @@
 
 // schedulerUpstreams returns the upstreams of a service in the form that the scheduler needs.
 func (b *Broker) schedulerUpstreams(service string) []sched.Upstream {
-	return b.upstreams.describe(b.options.Clock(), b.options.Table.View().UpstreamsOf(service))
+	view := b.options.Table.View()
+	return closeEvacuated(view, b.upstreams.describe(b.options.Clock(), view.UpstreamsOf(service)))
 }
 
 // selectUpstream returns the upstream for the next attempt, or the response to send if there is none.
 func (j *job) selectUpstream(ctx context.Context) (u table.Upstream, rejection *serve.Response) {
-	if r := j.reserved; r != nil {
+	before := j.broker.options.Table.View()
+	if r := j.reserved; r != nil && !before.Evacuated(r.upstream.DataCentre) {
 		j.reserved, j.slot = nil, r.slot
 		return r.upstream, nil
 	}
+	j.releaseReserved()
 	switch {
 	case ctx.Err() != nil:
 		return u, j.endedResponse(ctx)
+	case before.AllEvacuated(j.service):
+		return u, j.reject(ReasonOutOfService, noUpstreamRetryAfter)
 	case j.outlastsStop():
 		return u, j.reject(ReasonStopping, stoppingRetryAfter)
 	case !j.withinBudget():
@@ -66,6 +71,9 @@
 	if err == nil {
 		return u, rejection
 	}
+	if j.broker.evacuationsChanged(before) {
+		return j.selectUpstream(ctx)
+	}
 	b := j.broker
 	now, view := b.options.Clock(), b.options.Table.View()
 	u, ok := b.upstreams.choose(now, view, j.service, b.options.DataCentre, j.excluded)
@@ -147,20 +155,22 @@
 	if err != nil {
 		return reservation{}, err
 	}
-	u, ok := b.options.Table.View().Upstream(r.slot.Upstream)
-	if !ok {
+	view := b.options.Table.View()
+	u, ok := view.Upstream(r.slot.Upstream)
+	if !ok || view.Evacuated(u.DataCentre) {
 		r.slot.Finish(sched.Result{Completion: sched.Abandoned})
-		return reservation{}, errors.New("scheduler granted a slot at an upstream that is not in this host's table")
+		return reservation{}, errors.New("scheduler granted a slot at an upstream that is not in this host's table or is out of service")
 	}
 	r.upstream = u
 	return r, nil
 }
 
-// excludedFor returns the upstreams that must not be used for a request: those that were tried already, those that leave or pause,
-// which the scheduler may not know yet, and those that this host cannot connect to.
+// excludedFor returns the upstreams that must not be used for a request: those that were tried already, those that leave or pause
+// or are out of service, which the scheduler may not know yet, and those that this host cannot connect to.
 func (b *Broker) excludedFor(now time.Duration, j *job) []uint32 {
 	list := slices.Clone(j.excluded)
-	for _, number := range b.upstreams.unusable(now, j.service) {
+	unusable := append(b.upstreams.unusable(now, j.service), evacuated(b.options.Table.View(), j.service)...)
+	for _, number := range unusable {
 		if !slices.Contains(list, number) {
 			list = append(list, number)
 		}
@@ -179,6 +189,8 @@
 		now = b.options.Clock()
 		o := route.Owner(view, j.service, j.hash)
 		switch {
+		case view.AllEvacuated(j.service):
+			return u, j.reject(ReasonOutOfService, noUpstreamRetryAfter)
 		case o.Known && !b.staleOwners.skip(now, j.service, o) && b.mayServe(now, o.Upstream):
 			if pause := b.upstreams.notices.pause(now, o.Upstream); pause > 0 {
 				if rejection = j.awaitPause(ctx, pause); rejection != nil {
@@ -203,9 +215,10 @@
 	}
 }
 
-// mayServe reports whether an upstream may still be sent requests, which ends some time after it began to drain.
+// mayServe reports whether an upstream may still be sent requests, which ends some time after it began to drain, or at once when its data
+// centre is taken out of service.
 func (b *Broker) mayServe(now time.Duration, u table.Upstream) bool {
-	return b.upstreams.mayServe(now, u, b.leaveTime())
+	return !b.options.Table.View().Evacuated(u.DataCentre) && b.upstreams.mayServe(now, u, b.leaveTime())
 }
 
 // leaveTime is how long an upstream is still sent requests after this host learned that it leaves.
@@ -225,6 +238,9 @@
 		b.options.Observer.Arrived(j.service, o.Start, j.hash)
 	}
 	u, rejection, err := j.acquireSlot(ctx, o.Upstream.Number)
+	if err != nil && b.options.Table.View().Evacuated(o.Upstream.DataCentre) {
+		return u, nil, true
+	}
 	if err != nil {
 		j.owner = o
 		return o.Upstream, nil, false
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -123,7 +123,7 @@
 		var chosen []table.Upstream
 		for _, u := range list {
 			s := t.get(now, u)
-			if u.Leaving || slices.Contains(exclude, u.Number) || reachableOnly && now < s.unreachableUntil {
+			if u.Leaving || v.Evacuated(u.DataCentre) || slices.Contains(exclude, u.Number) || reachableOnly && now < s.unreachableUntil {
 				continue
 			}
 			candidates = append(candidates, s.candidate(now, u, t.averageLatency[service], dataCentre))
@@ -170,11 +170,11 @@
 	return list
 }
 
-// pauseOf returns the time until the first upstream of a service may get requests again, if all of them leave or pause, and otherwise
+// pauseOf returns the time until the first upstream of a service may get requests again, if all of them leave, pause or are out of service, and otherwise
 // zero.
 func (t *tracker) pauseOf(now time.Duration, v *table.View, service string) time.Duration {
 	numbers, soonest := t.notices.unwilling(now, service)
-	if len(numbers) < len(v.UpstreamsOf(service)) {
+	if len(union(numbers, evacuated(v, service))) < len(v.UpstreamsOf(service)) {
 		return 0
 	}
 	return soonest
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -91,6 +91,8 @@
 	ReasonCallerGone  Reason = "callerGone"
 	ReasonBudgetSpent Reason = "budgetSpent"
 	ReasonStopping    Reason = "stopping"
+	// ReasonOutOfService is for requests whose service has upstreams only in data centres out of service.
+	ReasonOutOfService Reason = "outOfService"
 )
 
 // Record describes a request that has its final response. Took is the time since its arrival, Waited the part of it that was spent
--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -144,8 +144,12 @@
 	budget := h.budget(c)
 	budget.Earn()
 	for attempt := 1; ; attempt++ {
-		target := h.table.Find(c.service.Name(), c.hash)
-		if !target.Owned() {
+		view := h.table.View()
+		target := h.findTarget(view, c, attempt)
+		if view.AllEvacuated(c.service.Name()) {
+			return notRun(ReasonOutOfService)
+		}
+		if !target.Owned() || view.Evacuated(target.Upstream().DataCentre) {
 			if err := h.table.Await(ctx, target.Version()); err != nil {
 				return h.unowned(err)
 			}
@@ -249,6 +253,9 @@
 	_ = control.SetWriteDeadline(time.Now().Add(h.callerTimeout))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	if p.status == 0 {
+		if p.reason == ReasonOutOfService {
+			w.Header().Set("Retry-After", outOfServiceRetryAfter)
+		}
 		writeError(w, &errResponse{errorStatus(p), p.reason, "the request was not answered by its upstream"}, p.outcome)
 		return
 	}
--- a/internal/entry/relay/headers.go
+++ b/internal/entry/relay/headers.go
@@ -59,6 +59,8 @@
 	ReasonNotReady    Reason = "notReady"
 	ReasonRetries     Reason = "retriesSpent"
 	ReasonStopping    Reason = "stopping"
+	// ReasonOutOfService is for requests whose service has upstreams only in data centres out of service.
+	ReasonOutOfService Reason = "outOfService"
 )
 
 // hopByHopHeaders are the header fields that concern a single connection and are not forwarded.
--- a/internal/entry/relay/local.go
+++ b/internal/entry/relay/local.go
@@ -88,6 +88,9 @@
 // queueAndForward waits for a slot of the upstream and forwards the request. An upstream that does not check fencing tokens
 // gets requests only while this host's lease is valid, with a deadline at most MaxHold away.
 func (h *Handler) queueAndForward(ctx context.Context, c *call, target route.Target) *reply {
+	if h.outOfService(target.Upstream()) {
+		return notRun(ReasonMoved)
+	}
 	u := h.upstream(target, c.service)
 	release, err := u.limiter.Acquire(ctx, c.handling.Class, c.caller)
 	if err != nil {
@@ -131,7 +134,7 @@
 func (h *Handler) beginRequest(c *call, target route.Target) (next route.Target, current bool) {
 	for range beginAttempts {
 		next = h.table.Find(c.service.Name(), c.hash)
-		if !next.Owned() || next.Fence() != target.Fence() || next.Upstream().Number != target.Upstream().Number {
+		if h.outOfService(next.Upstream()) || !next.Owned() || next.Fence() != target.Fence() || next.Upstream().Number != target.Upstream().Number {
 			return next, false
 		}
 		if h.table.BeginRequest(next.Version()) {
@@ -166,7 +169,9 @@
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		defer cancel()
-		h.options.Observer.UpstreamResult(target.Upstream().Number, true)
+		if !errors.Is(err, errOutOfService) {
+			h.options.Observer.UpstreamResult(target.Upstream().Number, true)
+		}
 		p := h.classifyFailure(ctx, u, sent)
 		h.logFailedAttempt(c, u.info.Name, u.info.Address, p, err)
 		return p
--- a/internal/entry/relay/upstream.go
+++ b/internal/entry/relay/upstream.go
@@ -51,21 +51,23 @@
 	return p
 }
 
-func newUpstreamPools(info table.Upstream) pools {
-	return pools{idempotent: newUpstreamTransport(info, idleTimeout), nonIdempotent: newUpstreamTransport(info, shortIdleTimeout)}
+func newUpstreamPools(info table.Upstream, allow func() error) pools {
+	return pools{idempotent: newUpstreamTransport(info, idleTimeout, allow), nonIdempotent: newUpstreamTransport(info, shortIdleTimeout, allow)}
 }
 
-func newUpstreamTransport(info table.Upstream, idle time.Duration) *http.Transport {
+// newUpstreamTransport returns a transport that asks allow before it sends a request, as the connection may have taken long to open.
+func newUpstreamTransport(info table.Upstream, idle time.Duration, allow func() error) *http.Transport {
 	t := wire.NewTransport(nil, idle, info.Slots)
 	t.MaxConnsPerHost = max(1, info.Connections/2)
 	t.MaxResponseHeaderBytes = bound.MaxResponseHeader
 	t.DisableCompression = true
+	wire.Guard(t, allow)
 	return t
 }
 
 // newSingleTransport returns a transport whose connections to an upstream carry one request each.
-func newSingleTransport(info table.Upstream) *http.Transport {
-	t := newUpstreamTransport(info, shortIdleTimeout)
+func newSingleTransport(info table.Upstream, allow func() error) *http.Transport {
+	t := newUpstreamTransport(info, shortIdleTimeout, allow)
 	t.DisableKeepAlives = true
 	return t
 }
@@ -131,7 +133,7 @@
 	if u == nil {
 		h.dropRemoved()
 		u = &upstream{info: info, limit: service.Queue(), limiter: admit.NewLimiter(info.Slots, service.Queue()),
-			pools: newUpstreamPools(info), single: newSingleTransport(info)}
+			pools: newUpstreamPools(info, h.inService(info)), single: newSingleTransport(info, h.inService(info))}
 		h.upstreams[info.Number] = u
 	}
 	if u.limit != service.Queue() {
--- a/internal/entry/sched/directory.go
+++ b/internal/entry/sched/directory.go
@@ -24,7 +24,7 @@
 		s := subsets.Of(u)
 		d.byNumber[u.Number] = u
 		d.members[s] = append(d.members[s], u)
-		if u.Draining {
+		if u.Draining || u.Closed {
 			continue
 		}
 		if d.slots[s] == 0 {
@@ -54,7 +54,7 @@
 	excluded := map[Subset]int{}
 	for i, number := range exclude {
 		u, ok := d.byNumber[number]
-		if ok && !u.Draining && !slices.Contains(exclude[:i], number) {
+		if ok && !u.Draining && !u.Closed && !slices.Contains(exclude[:i], number) {
 			excluded[d.subsets.Of(u)] += max(u.Slots, 1)
 		}
 	}
--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -8,13 +8,14 @@
 
 // eligible reports whether an upstream may run a request that names no upstream, regardless of free slots.
 func eligible(j *job, u *upstreamState) bool {
-	return !u.upstream.Draining && !slices.Contains(j.request.Exclude, u.upstream.Number)
+	return !u.upstream.Draining && !u.upstream.Closed && !slices.Contains(j.request.Exclude, u.upstream.Number)
 }
 
 // hasEligible reports whether any upstream may run the request.
 func (s *Scheduler) hasEligible(j *job) bool {
 	if j.request.Upstream != 0 {
-		return s.upstreams[j.request.Upstream] != nil
+		u := s.upstreams[j.request.Upstream]
+		return u != nil && !u.upstream.Closed
 	}
 	for _, u := range s.upstreams {
 		if eligible(j, u) {
@@ -24,6 +25,22 @@
 	return false
 }
 
+// rejectClosed rejects the waiting requests that no upstream may run any more, if upstreams are closed. They would otherwise wait for slots
+// that they must not use.
+func (s *Scheduler) rejectClosed() (replies []addressedReply) {
+	closed := false
+	for _, u := range s.upstreams {
+		closed = closed || u.upstream.Closed
+	}
+	for _, j := range slices.Clone(s.waiting) {
+		if closed && !s.hasEligible(j) {
+			s.remove(j)
+			replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: NoUpstream}})
+		}
+	}
+	return replies
+}
+
 // dispatch assigns free slots to waiting jobs in dispatch order. Jobs for which no suitable slot is free keep waiting.
 func (s *Scheduler) dispatch(now time.Duration) (replies []addressedReply) {
 	free := s.freeSlots()
@@ -132,7 +149,7 @@
 // better upstream should be free soon enough, taking into account the number of requests ahead of it.
 func (s *Scheduler) choose(c *costs, j *job, ahead int) (best *upstreamState) {
 	if j.request.Upstream != 0 {
-		if u := s.upstreams[j.request.Upstream]; u != nil && u.busy < u.limit() {
+		if u := s.upstreams[j.request.Upstream]; u != nil && !u.upstream.Closed && u.busy < u.limit() {
 			return u
 		}
 		return nil
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -96,7 +96,7 @@
 		s.numbers = append(s.numbers, number)
 	}
 	slices.Sort(s.numbers)
-	return s.dispatch(now)
+	return append(s.rejectClosed(), s.dispatch(now)...)
 }
 
 // Submit decides on a slot request of a host: it assigns a slot, queues the request or rejects it. A request that is already
--- a/internal/entry/sched/types.go
+++ b/internal/entry/sched/types.go
@@ -91,11 +91,12 @@
 }
 
 // Upstream describes an upstream to the scheduler. Slots is the number of requests that it runs at a time. Draining upstreams get
-// only requests that name them. Cold marks one that started recently and may still be slow.
+// only requests that name them, Closed ones none at all. Cold marks one that started recently and may still be slow.
 type Upstream struct {
 	Number     uint32
 	Slots      int
 	DataCentre string
 	Draining   bool
+	Closed     bool
 	Cold       bool
 }
--- a/internal/ops/cmds/status.go
+++ b/internal/ops/cmds/status.go
@@ -77,6 +77,7 @@
 		c.shared.printf("lagging or cut off: %s\n", strings.Join(lagging, ", "))
 	}
 	c.shared.printf("full redundancy: %s\n", yesNo(status.FullRedundancy))
+	c.shared.printf("data centres out of service: %s\n", outOfService(status))
 	c.shared.printf("upstreams: %d; slices without owner: %d; moves under way: %d\n", len(status.Upstreams), status.Unowned, status.Handovers)
 }
 
--- a/internal/ops/daemon/peers.go
+++ b/internal/ops/daemon/peers.go
@@ -43,6 +43,7 @@
 	redirect(d, mux, oper.Owners, oper.OwnersRequest{}, oper.OwnersResponse{})
 	redirect(d, mux, oper.Drain, oper.DrainRequest{}, oper.Empty{})
 	redirect(d, mux, oper.Members, oper.MembersRequest{}, oper.Empty{})
+	redirect(d, mux, oper.Evacuate, oper.EvacuateRequest{}, oper.Empty{})
 }
 
 // redirect answers a procedure with an error that holds the address of a control host.
--- a/internal/shared/evac/evac.go
+++ b/internal/shared/evac/evac.go
@@ -50,6 +50,9 @@
 // Out reports whether a data centre is out of service.
 func (s *Set) Out(dataCentre string) bool { return s.records[dataCentre].Out }
 
+// Empty reports whether there are no records.
+func (s *Set) Empty() bool { return len(s.records) == 0 }
+
 // Get returns the record of a data centre; one without a record is in service.
 func (s *Set) Get(dataCentre string) Record {
 	r := s.records[dataCentre]
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -4,6 +4,7 @@
 	"connectrpc.com/connect"
 
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/evac"
 	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
@@ -27,6 +28,7 @@
 	Patch     = "/ebonyrill.v1.Operators/Patch"
 	Items     = "/ebonyrill.v1.Operators/Items"
 	Leave     = "/ebonyrill.v1.Control/Leave"
+	Evacuate  = "/ebonyrill.v1.Operators/Evacuate"
 )
 
 // PublishTime is the layout of the time at the start of a publish id; ids therefore sort by time.
@@ -116,6 +118,13 @@
 	Items []items.Item `cbor:"1,keyasint" json:"items"`
 }
 
+// EvacuateRequest takes a data centre out of service, or back if Out is not set. By is who asks, empty if that is not known.
+type EvacuateRequest struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Out        bool   `cbor:"2,keyasint"`
+	By         string `cbor:"3,keyasint"`
+}
+
 // LeaveRequest announces that a process of an upstream leaves. If its incarnation is not known, Incarnation is zero and Latest is the
 // newest one that it can have.
 type LeaveRequest struct {
@@ -191,6 +200,8 @@
 	Unowned        int              `cbor:"9,keyasint" json:"unowned"`
 	FullRedundancy bool             `cbor:"10,keyasint" json:"fullRedundancy"`
 	MovedShare     float64          `cbor:"11,keyasint" json:"movedShare"`
+	// Evacuations lists the data centres that are out of service or came back lately.
+	Evacuations []evac.Record `cbor:"12,keyasint,omitempty" json:"evacuations"`
 }
 
 // InForce reports whether all entry hosts have applied the configuration. Lagging names those that have not or are lost.
--- a/internal/shared/wire/transport.go
+++ b/internal/shared/wire/transport.go
@@ -60,6 +60,19 @@
 	return t
 }
 
+// Guard sets a function that is asked each time before the first byte of a request is written to a connection of the transport; if it
+// returns an error, the request is not sent. It must be called before the first request.
+func Guard(t *http.Transport, allow func() error) {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if counted, ok := c.(*countedConn); ok {
+			counted.allow = allow
+		}
+		return c, err
+	}
+}
+
 // boundedTransport limits the length of response bodies; Connect would read a longer one to its end.
 type boundedTransport struct {
 	*http.Transport
@@ -106,10 +119,19 @@
 	net.Conn
 	written atomic.Int64
 	traffic *Traffic
+	// allow is the transport's guard, or nil. sending is set from the first byte of a request until bytes of a response are read.
+	allow   func() error
+	sending atomic.Bool
 }
 
 // Write counts the bytes before it writes them, so that a write in progress is counted too.
 func (c *countedConn) Write(b []byte) (int, error) {
+	if c.allow != nil && !c.sending.Swap(true) {
+		if err := c.allow(); err != nil {
+			c.sending.Store(false)
+			return 0, err
+		}
+	}
 	c.written.Add(int64(len(b)))
 	c.traffic.sent.Add(int64(len(b)))
 	return c.Conn.Write(b)
@@ -117,7 +139,9 @@
 
 // Read reads and counts the bytes read.
 func (c *countedConn) Read(b []byte) (n int, err error) {
-	n, err = c.Conn.Read(b)
+	if n, err = c.Conn.Read(b); n > 0 {
+		c.sending.Store(false)
+	}
 	c.traffic.received.Add(int64(n))
 	return n, err
 }
