--- a/internal/control/group/soak_test.go
+++ b/internal/control/group/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -134,8 +135,8 @@
 	}
 }
 
-// TestSoakOwnership injects random faults under load and checks that no key is served by two owners at once and that no
-// acknowledged publish is lost.
+// TestSoakOwnership injects random faults under load and checks that no key is served by two owners at once, that no acknowledged publish
+// is lost, and that the evacuations that were acknowledged are in force.
 func TestSoakOwnership(t *testing.T) {
 	first, count := soakSeeds()
 	var served, acknowledged atomic.Int64
@@ -148,6 +149,7 @@
 			c := qt.New(t)
 			hosts := 3 + 2*int(seed%2)
 			w := newWorld(worldOptions{seed: seed, hosts: hosts, entries: 3, checked: 2 + int(seed%3), unchecked: int(seed % 4)})
+			w.place("away", 2)
 			w.run(2 * time.Second)
 			first := w.leader()
 			c.Assert(first, qt.IsNotNil)
@@ -156,10 +158,12 @@
 			w.load(22 * time.Second)
 			w.injectFaults(20 * time.Second)
 			w.publishLoop(20 * time.Second)
+			w.evacuationLoop(rand.New(rand.NewPCG(seed, 7)), 20*time.Second)
 			w.run(22 * time.Second)
 			w.healAll()
 			w.run(30 * time.Second)
 			w.checkAcknowledged()
+			w.checkEvacuations()
 			assertNoViolations(c, w, seed)
 			served.Add(int64(w.served))
 			acknowledged.Add(int64(len(w.acknowledged)))
--- a/internal/control/group/world_entry_test.go
+++ b/internal/control/group/world_entry_test.go
@@ -177,6 +177,7 @@
 			e.world.violation("%s applied configuration %d after %d was acknowledged to an operator", e.name, next.Config().Version, acked.outcome.Version)
 		}
 	}
+	e.checkEvacuations(next, askedAt)
 	e.view = next
 }
 
@@ -188,7 +189,7 @@
 	}
 	s := set.Find(hash)
 	u, ok := e.view.Upstream(s.Owner)
-	if !ok || s.Moving() {
+	if !ok || s.Moving() || e.view.Evacuated(u.DataCentre) {
 		return
 	}
 	if home, _ := e.view.Home(u.Number); home.Name != e.name {
--- a/internal/control/group/world_test.go
+++ b/internal/control/group/world_test.go
@@ -33,6 +33,7 @@
 	publishes       int
 	nextID          uint64
 	formation       Formation
+	evacuations     []*evacuationCall
 }
 
 // effect is the last request that took effect on a key.
--- a/internal/control/group/world_upstream_test.go
+++ b/internal/control/group/world_upstream_test.go
@@ -25,10 +25,11 @@
 	leaving     bool
 	misreports  bool
 	drainedBy   time.Duration
+	dataCentre  string
 }
 
 func (w *world) addUpstream(i int, checks bool) {
-	u := &fakeUpstream{world: w, name: fmt.Sprintf("up%d", i), checks: checks, clock: w.newClock()}
+	u := &fakeUpstream{world: w, name: fmt.Sprintf("up%d", i), checks: checks, clock: w.newClock(), dataCentre: "dc"}
 	w.upstreams = append(w.upstreams, u)
 	u.start()
 }
@@ -71,7 +72,7 @@
 func (u *fakeUpstream) announce(generation int) {
 	u.sequence++
 	a := table.Announcement{Name: u.name, Incarnation: u.incarnation, Sequence: u.sequence, Service: "frames", Address: "127.0.0.1:1",
-		DataCentre: "dc", ChecksFence: u.checks, Slots: 3, Connections: 10, Held: u.held(), Leaving: u.leaving, Healthy: true}
+		DataCentre: u.dataCentre, ChecksFence: u.checks, Slots: 3, Connections: 10, Held: u.held(), Leaving: u.leaving, Healthy: true}
 	if u.misreports {
 		a.Healthy, a.Load = u.sequence%2 == 0, float64(u.sequence%3)*1000
 	}
--- a/internal/entry/sched/scheduler_test.go
+++ b/internal/entry/sched/scheduler_test.go
@@ -360,3 +360,29 @@
 	}
 	return 1 - float64(met)/float64(len(arrivals))
 }
+
+// TestClosedUpstreamGetsNothing guards against requests that wait for a slot, or get one, at an upstream whose data centre was taken out of
+// service, whether they name it or not.
+func TestClosedUpstreamGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	list := upstreamsOf(1, 1)
+	s := newScheduler(list)
+	for id := uint64(1); id <= 2; id++ {
+		c.Assert(replyFor(s.Submit(0, "h", slotRequest(id)), id).Decision, qt.Equals, Assigned)
+	}
+	named, any, only := slotRequest(3), slotRequest(4), slotRequest(5)
+	named.Upstream, only.Exclude = 1, []uint32{2}
+	for _, r := range []SlotRequest{named, any, only} {
+		c.Assert(replyFor(s.Submit(0, "h", r), r.ID).Decision, qt.Equals, Queued)
+	}
+	list[0].Closed = true
+	replies := s.SetUpstreams(time.Millisecond, list, 1)
+	c.Check(replyFor(replies, 3).Decision, qt.Equals, NoUpstream)
+	c.Check(replyFor(replies, 5).Decision, qt.Equals, NoUpstream)
+	for _, id := range []uint64{1, 2} {
+		replies = append(replies, s.Finish(2*time.Millisecond, "h", Result{ID: id, Completion: Answered, Took: time.Millisecond})...)
+	}
+	c.Check(replyFor(replies, 4), qt.Equals, Reply{ID: 4, Decision: Assigned, Upstream: 2})
+	named.ID = 6
+	c.Check(replyFor(s.Submit(3*time.Millisecond, "h", named), 6).Decision, qt.Equals, NoUpstream)
+}
