--- a/internal/control/group/evacuate_test.go
+++ b/internal/control/group/evacuate_test.go
@@ -96,6 +96,7 @@
 			for !leader.group.state.Evacuations().Out("x") {
 				w.run(w.now + time.Millisecond)
 			}
+			w.run(w.now + 500*time.Millisecond) // until all hosts have applied it
 			want := leader.group.state.Evacuations().Get("x")
 			v.fail(w)
 			w.run(w.now + 4*time.Second)
--- a/internal/entry/broker/evacuated_test.go
+++ b/internal/entry/broker/evacuated_test.go
@@ -94,7 +94,7 @@
 			f.place(1, 2)
 			ended := make(chan int, 5)
 			for range 5 {
-				r := f.request(path)
+				r := f.request(path, func(r *http.Request) { r.Header.Set("Left", "20000") })
 				go func() { ended <- f.broker.Handle(context.Background(), r).Status }()
 			}
 			running := func() int { return f.servers[0].count() + f.servers[1].count() }
@@ -104,6 +104,7 @@
 			f.evacuate(true)
 			for range 3 {
 				f.c.Check(<-ended, qt.Equals, http.StatusServiceUnavailable)
+				f.c.Check(f.recorder.last().Reason, qt.Equals, ReasonOutOfService)
 			}
 			close(free)
 			for range 2 {
@@ -134,6 +135,7 @@
 	f.c.Assert(j.checkUpstream(reserved), qt.IsNil)
 	f.evacuate(true)
 	f.c.Check(j.checkUpstream(reserved), qt.ErrorIs, errOutOfService)
+	f.c.Check(f.broker.excludedFor(clock.Boot(), j), qt.DeepEquals, []uint32{reserved.Number}, qt.Commentf("for a scheduler that does not know yet"))
 	u, rejection := j.selectUpstream(ctx)
 	f.c.Assert(rejection, qt.IsNil)
 	f.c.Check(u.Number, qt.Not(qt.Equals), reserved.Number)
--- a/internal/entry/relay/evacuated_test.go
+++ b/internal/entry/relay/evacuated_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
 	"testing"
@@ -61,7 +63,23 @@
 func TestHomeKnowsOfEvacuationFirst(t *testing.T) {
 	far, home, u := mustPair(t, respondOK, nil)
 	home.evacuate(true)
-	assertOutcome(far.c, far.do("POST", "/frames/k/closure", HeaderTimeout, "300"), NotRun, u, 0)
+	c, bad := far.handler.newCall(httptest.NewRequest("POST", "/frames/k/closure", nil), nil)
+	far.c.Assert(bad == nil, qt.IsTrue)
+	p := far.handler.sendHome(context.Background(), c, far.table.Find("frames", c.hash))
+	far.c.Check(p.outcome, qt.Equals, NotRun)
+	far.c.Check(p.reason, qt.Equals, ReasonMoved)
+	far.c.Check(u.runs.Load(), qt.Equals, int64(0))
+}
+
+// TestNoHopToEvacuatedUpstream guards against a request that is passed on to a home host with an older table.
+func TestNoHopToEvacuatedUpstream(t *testing.T) {
+	far, home, u := mustPair(t, respondOK, nil)
+	home.own(1, 7, 12)
+	elsewhere := upstreamAt(2, "127.0.0.1:1")
+	elsewhere.DataCentre = "other"
+	far.delta.Upstreams = append(far.delta.Upstreams, elsewhere)
+	far.evacuate(true)
+	assertOutcome(far.c, far.do("POST", "/frames/k/closure", HeaderTimeout, "200"), NotRun, u, 0)
 }
 
 // TestNoByteAfterEvacuation guards against a request that is written to a connection that was opened, or kept, before the data centre was
--- a/internal/entry/relay/local.go
+++ b/internal/entry/relay/local.go
@@ -134,7 +134,7 @@
 func (h *Handler) beginRequest(c *call, target route.Target) (next route.Target, current bool) {
 	for range beginAttempts {
 		next = h.table.Find(c.service.Name(), c.hash)
-		if h.outOfService(next.Upstream()) || !next.Owned() || next.Fence() != target.Fence() || next.Upstream().Number != target.Upstream().Number {
+		if !next.Owned() || next.Fence() != target.Fence() || next.Upstream().Number != target.Upstream().Number {
 			return next, false
 		}
 		if h.table.BeginRequest(next.Version()) {
