--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -147,7 +147,8 @@
 	if isNotSent(err) {
 		result := resultConnectFailed
 		j.reason = ReasonNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errOutOfService) || errors.Is(err, errPaused) || errors.Is(err, retry.ErrStopping) {
+		notItsFault := []error{errWithdrawn, errOutOfService, errPaused, retry.ErrStopping}
+		if ctx.Err() != nil || slices.ContainsFunc(notItsFault, func(cause error) bool { return errors.Is(err, cause) }) {
 			result = resultAbandoned
 		}
 		if errors.Is(err, errPaused) {
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -58,7 +58,7 @@
 	gauge("ebonyrill_config_version", "Version of the configuration in force.", func() float64 {
 		return float64(d.table.View().Config().Version)
 	})
-	gauge("ebonyrill_data_centres_out_of_service", "Data centres whose upstreams get no requests because an operator took them out of service.", func() float64 {
+	gauge("ebonyrill_data_centres_out_of_service", "Data centres that operators took out of service.", func() float64 {
 		return float64(len(d.table.View().Evacuations().ListOut()))
 	})
 	if d.broker != nil {
