--- a/internal/control/group/evacuate_test.go
+++ b/internal/control/group/evacuate_test.go
@@ -123,8 +123,8 @@
 // moves.
 const evacuationMoveBound = 8 * time.Second
 
-// TestKeysLeaveEvacuatedDataCentre guards against keys that stay at, or go to, upstreams in a data centre out of service while others can own
-// them, and against keys that lose their owner when no others can.
+// TestKeysLeaveEvacuatedDataCentre guards against keys that stay at, or go to, upstreams in a data centre out of service while others can
+// own them, and against keys that lose their owner when no others can.
 func TestKeysLeaveEvacuatedDataCentre(t *testing.T) {
 	for seed := range uint64(8) {
 		checked, crash := seed%2 == 0, seed%4 >= 2
--- a/internal/control/group/status.go
+++ b/internal/control/group/status.go
@@ -16,7 +16,8 @@
 func (g *Group) status(ctx context.Context, _ *oper.Empty) (answer *oper.StatusResponse, err error) {
 	err = g.leaseRead(ctx, func(l *leaderState) error {
 		answer = &oper.StatusResponse{Term: g.core.Term(), Commit: g.core.CommitIndex(), TableVersion: g.state.Version(),
-			ConfigVersion: g.state.Config().Version, Handovers: l.leases.Handovers(), MovedShare: l.movedShare, Evacuations: g.state.Evacuations().All()}
+			ConfigVersion: g.state.Config().Version, Handovers: l.leases.Handovers(), MovedShare: l.movedShare,
+			Evacuations: g.state.Evacuations().All()}
 		g.statusMembers(answer)
 		g.statusEntries(l, answer)
 		g.statusUpstreams(l, answer)
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -40,8 +40,8 @@
 // Encode returns the encoding of the state in a snapshot.
 func (s *State) Encode() ([]byte, error) {
 	m := snapshot{Index: s.index, Version: s.version, Config: s.config, Outcomes: s.outcomes, OutcomeFloor: s.outcomeFloor,
-		Upstreams: s.upstreams, NextNumber: s.nextNumber, Drained: s.drained, Incarnations: s.incarnations, Entries: s.entries, Items: s.items.All(),
-		Evacuations: s.evacuations.All()}
+		Upstreams: s.upstreams, NextNumber: s.nextNumber, Drained: s.drained, Incarnations: s.incarnations, Entries: s.entries,
+		Items: s.items.All(), Evacuations: s.evacuations.All()}
 	for _, t := range s.tables {
 		m.Tables = append(m.Tables, table.SliceChanges{Service: t.name, All: t.set.Slices()})
 		if len(t.reports) > 0 {
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -170,8 +170,8 @@
 	return list
 }
 
-// pauseOf returns the time until the first upstream of a service may get requests again, if all of them leave, pause or are out of service, and otherwise
-// zero.
+// pauseOf returns the time until the first upstream of a service may get requests again, if all of them leave, pause or are out of service,
+// and otherwise zero.
 func (t *tracker) pauseOf(now time.Duration, v *table.View, service string) time.Duration {
 	numbers, soonest := t.notices.unwilling(now, service)
 	if len(union(numbers, evacuated(v, service))) < len(v.UpstreamsOf(service)) {
--- a/internal/entry/relay/upstream.go
+++ b/internal/entry/relay/upstream.go
@@ -52,7 +52,8 @@
 }
 
 func newUpstreamPools(info table.Upstream, allow func() error) pools {
-	return pools{idempotent: newUpstreamTransport(info, idleTimeout, allow), nonIdempotent: newUpstreamTransport(info, shortIdleTimeout, allow)}
+	return pools{idempotent: newUpstreamTransport(info, idleTimeout, allow),
+		nonIdempotent: newUpstreamTransport(info, shortIdleTimeout, allow)}
 }
 
 // newUpstreamTransport returns a transport that asks allow before it sends a request, as the connection may have taken long to open.
