--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -137,6 +137,8 @@
 	now := b.options.Clock()
 	current, ok := b.options.Table.View().Upstream(u.Number)
 	switch {
+	case b.options.Table.View().Evacuated(u.DataCentre):
+		return errOutOfService
 	case !ok || !b.mayServe(now, current):
 		return errWithdrawn
 	case b.upstreams.notices.pause(now, current) > 0:
@@ -158,7 +160,8 @@
 	if isNotSent(err) {
 		result := resultConnectFailed
 		j.reason = ReasonNotReached
-		if ctx.Err() != nil || errors.Is(err, errWithdrawn) || errors.Is(err, errPaused) || errors.Is(err, retry.ErrStopping) {
+		notItsFault := []error{errWithdrawn, errOutOfService, errPaused, retry.ErrStopping}
+		if ctx.Err() != nil || slices.ContainsFunc(notItsFault, func(cause error) bool { return errors.Is(err, cause) }) {
 			result = resultAbandoned
 		}
 		if errors.Is(err, errPaused) {
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -103,6 +103,8 @@
 	ReasonBudgetSpent Reason = "budgetSpent"
 	ReasonStopping    Reason = "stopping"
 	ReasonLinkBusy    Reason = "linkBusy"
+	// ReasonOutOfService is for requests whose service has upstreams only in data centres out of service.
+	ReasonOutOfService Reason = "outOfService"
 )
 
 // Record describes a request that has its final response. Took is the time since its arrival, Waited the part of it that was spent
--- a/internal/entry/relay/local.go
+++ b/internal/entry/relay/local.go
@@ -88,6 +88,9 @@
 // queueAndForward waits for a slot of the upstream and forwards the request. An upstream that does not check fencing tokens
 // gets requests only while this host's lease is valid, with a deadline at most MaxHold away.
 func (h *Handler) queueAndForward(ctx context.Context, c *call, target route.Target) *reply {
+	if h.outOfService(target.Upstream()) {
+		return notRun(ReasonMoved)
+	}
 	u := h.upstream(target, c.service)
 	release, err := u.limiter.Acquire(ctx, c.handling.Class, c.caller)
 	if err != nil {
@@ -166,7 +169,9 @@
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		defer cancel()
-		h.options.Observer.UpstreamResult(target.Upstream().Number, true)
+		if !errors.Is(err, errOutOfService) {
+			h.options.Observer.UpstreamResult(target.Upstream().Number, true)
+		}
 		p := h.classifyFailure(ctx, u, sent)
 		h.logFailedAttempt(c, u.info.Name, u.info.Address, p, err)
 		return p
