sched: choose schedulers by the capacity of the entry hosts

On a deployment with hosts of 0.12 of a core and 1.5 Mbit/s next to hosts of 0.4 and 5, the small hosts scheduled most of the subsets, because rendezvous hashing gave every host the same share. The hash is weighted by the square of the host's capacity, the smaller of its shares of the largest processor and the fastest link: callers' requests are divided evenly, so that the small hosts have less than proportionally left.

Equal capacities, and hosts that state none, are ranked as before (TestEqualHostsAreRankedByHash). With 59 small and 18 large hosts the small ones schedule 0.20 to 0.26 of 4,000 subsets (TestSmallHostsScheduleSeldom).

--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -33,11 +33,8 @@
 }
 
 // schedulerHosts returns the entry hosts, which divide the scheduling of services among them.
-func (b *Broker) schedulerHosts() (list []sched.Host) {
-	for _, e := range b.options.Table.View().Entries() {
-		list = append(list, sched.Host{Name: e.Name, Address: e.Address, DataCentre: e.DataCentre})
-	}
-	return list
+func (b *Broker) schedulerHosts() []sched.Host {
+	return sched.HostsOf(b.options.Table.View().Entries())
 }
 
 // schedulerUpstreams returns the upstreams of a service in the form that the scheduler needs.
--- a/internal/entry/sched/candidates.go
+++ b/internal/entry/sched/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -48,16 +49,28 @@
 	if sub.DataCentre != "" && slices.ContainsFunc(list, func(h Host) bool { return h.DataCentre == sub.DataCentre }) {
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.DataCentre != sub.DataCentre })
 	}
-	hash := sub.hash()
-	scores := map[string]uint64{}
-	for _, h := range list {
-		scores[h.Address] = slice.Mix(slice.HashKey(h.Name) ^ hash)
-	}
-	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(scores[a.Address], scores[b.Address]) })
+	rank(list, sub.hash())
 	n.ranked[sub] = list
 	return list
 }
 
+// rank sorts hosts by weighted rendezvous hashing: the probability that a host comes first is its share of the weights, and another
+// weight of one host moves only subsets to or from that host. Equal weights are ranked by the hash alone.
+func rank(list []Host, hash uint64) {
+	scores, draws := map[string]uint64{}, map[string]float64{}
+	for _, h := range list {
+		score := slice.Mix(slice.HashKey(h.Name) ^ hash)
+		scores[h.Address] = score
+		draws[h.Address] = -math.Log1p(-float64(score)/(1<<64)) / h.Weight()
+	}
+	slices.SortFunc(list, func(a, b Host) int {
+		if a.Capacity == b.Capacity {
+			return cmp.Compare(scores[a.Address], scores[b.Address])
+		}
+		return cmp.Or(cmp.Compare(draws[a.Address], draws[b.Address]), cmp.Compare(scores[a.Address], scores[b.Address]))
+	})
+}
+
 // isolated reports whether so many hosts are unresponsive that this host's own network link is probably at fault. This host then
 // asks no scheduler. The mutex must be held.
 func (n *Node) isolated(now time.Duration) bool {
--- a/internal/entry/sched/node.go
+++ b/internal/entry/sched/node.go
@@ -37,11 +37,12 @@
 // Error returns the message.
 func (e *ErrNoScheduler) Error() string { return "no scheduler replied" }
 
-// Host is an entry host that can act as scheduler.
+// Host is an entry host that can act as scheduler. Capacity is its capacity relative to that of the largest host.
 type Host struct {
 	Name       string
 	Address    string
 	DataCentre string
+	Capacity   float64
 }
 
 // Options configure a node. Hosts and Upstreams return the current content of the routing table. OnUnresponsive, if set, is
