entry: windows for requests without a slot, resets as a sign of a full upstream

Without a scheduler's reply each host sent whatever arrived, so that an overload of schedulers became one of the upstreams; a reset by a full upstream raised its failure rate, and new connections went over the cap of the upstreams.

makeSchedulerUnresponsive in the broker's tests left the host itself among the schedulers, which could then still reply; it now removes it, as its comment says.

--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -26,6 +26,7 @@
 func (j *job) serve(ctx context.Context) *serve.Response {
 	defer j.refundRetry()
 	defer j.releaseReserved()
+	defer j.finishSlot(sched.Result{Completion: sched.Abandoned})
 	for {
 		if ctx.Err() != nil {
 			return j.endedResponse(ctx)
@@ -85,16 +86,22 @@
 	return errors.As(err, &notSent)
 }
 
+// isReset reports whether the upstream reset a new connection after it was sent the request, as one does that is full.
+func isReset(err error) bool {
+	var noResponse *conns.ErrNoResponse
+	return errors.As(err, &noResponse) && noResponse.Reset
+}
+
 // upstreamCall returns the request as it is sent to the upstream.
 func (j *job) upstreamCall(u table.Upstream, left time.Duration) *conns.Call {
 	names := j.broker.options.Headers
 	header := j.header.Clone()
 	header.Set(names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	header.Set(names.Instance, u.Name)
-	r := j.request.HTTP
+	r, hosts := j.request.HTTP, len(j.broker.options.Table.View().Entries())
 	return &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
 		Body: j.request.Body, IDHeader: names.RequestID, ID: j.id, Idempotent: j.idempotent(),
-		MaxIdle: idleConnections(u.Connections, len(j.broker.options.Table.View().Entries())), BeforeSend: func() error { return j.beforeSend(u) }}
+		MaxIdle: idleConnections(u.Connections, hosts), MaxOpen: j.maxConnections(u, hosts), BeforeSend: func() error { return j.beforeSend(u) }}
 }
 
 // idleShare is the share of the connections which an upstream accepts that all entry hosts together keep idle.
@@ -151,11 +158,16 @@
 		if errors.Is(err, errPaused) {
 			j.reason = ReasonPaused
 		}
+		var tooMany *conns.ErrTooManyConnections
+		atLimit := errors.As(err, &tooMany)
+		if atLimit {
+			result, j.reason = resultAbandoned, ReasonOverloaded
+		}
 		j.sends--
 		j.request.SetStage(serve.StageWaiting)
 		j.finishAttempt(u, result, took, nil)
 		j.exclude(u)
-		return nil, true
+		return nil, !(atLimit && j.keyed)
 	}
 	j.attempts++
 	j.mayHaveRun = true
@@ -171,6 +183,8 @@
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errFailover):
 		j.finishAttempt(u, resultFailed, took, nil)
 		b.pool.CloseIdle(connKey(u))
+	case b.options.Windows && isReset(err):
+		j.finishAttempt(u, resultFull, took, nil)
 	default:
 		j.finishAttempt(u, resultFailed, took, nil)
 	}
--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -27,6 +27,7 @@
 	upstreams     *tracker
 	schedulerNode *sched.Node
 	staleOwners   *staleOwners
+	windows       *windows
 	mutex         sync.Mutex
 	retries       *budget
 	splits        map[string]*split
@@ -40,7 +41,7 @@
 
 // New returns a broker.
 func New(o Options) *Broker {
-	b := &Broker{options: o, pool: conns.NewPool(), upstreams: newTracker(), staleOwners: newStaleOwners(), retries: newBudget(o.Retries), splits: map[string]*split{}}
+	b := &Broker{options: o, pool: conns.NewPool(), upstreams: newTracker(), staleOwners: newStaleOwners(), windows: newWindows(), retries: newBudget(o.Retries), splits: map[string]*split{}}
 	b.receiveCtx, b.stopReceiving = context.WithCancel(context.Background())
 	b.serveCtx, b.stopServing = context.WithCancel(b.receiveCtx)
 	b.waitCtx, b.stopWaiting = context.WithCancel(b.serveCtx)
@@ -82,6 +83,7 @@
 // updateHosts applies changes of upstreams and entry hosts, and the time that has passed for them.
 func (b *Broker) updateHosts(view *table.View) {
 	b.upstreams.update(b.options.Clock(), view)
+	b.windows.update(view)
 	b.schedulerNode.Update()
 }
 
@@ -117,6 +119,7 @@
 	sends          int
 	retryTaken     bool
 	slot           *sched.Slot
+	unscheduled    *unscheduled
 	reserved       *reservation
 	arrivalCounted bool
 	owner          route.Holder
--- a/internal/entry/broker/failover_test.go
+++ b/internal/entry/broker/failover_test.go
@@ -57,7 +57,7 @@
 	l, err := net.ListenPacket("udp", "127.0.0.1:0")
 	f.c.Check(err, qt.IsNil)
 	f.c.Cleanup(func() { _ = l.Close() })
-	f.apply(table.Delta{Entries: []table.EntryHost{{Name: "z", Address: l.LocalAddr().String(), DataCentre: "d"}}})
+	f.apply(table.Delta{Entries: []table.EntryHost{{Name: "z", Address: l.LocalAddr().String(), DataCentre: "d"}}, RemovedEntries: []string{"e"}})
 }
 
 // TestNoFailoverTooLate checks that a first attempt is not ended if, because of the route's latency objective, so little time is left
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -65,10 +65,13 @@
 	}
 	b := j.broker
 	now, view := b.options.Clock(), b.options.Table.View()
-	u, ok := b.upstreams.choose(now, view, j.service, b.options.DataCentre, j.excluded)
+	u, wait, ok := j.chooseUnscheduled(now, view)
 	if ok {
 		return u, nil
 	}
+	if wait > 0 {
+		return u, j.reject(ReasonOverloaded, wait)
+	}
 	pause := b.upstreams.pauseOf(now, view, j.service)
 	if pause == 0 {
 		return u, j.reject(ReasonNoUpstream, noUpstreamRetryAfter)
@@ -223,6 +226,9 @@
 	}
 	u, rejection, err := j.acquireSlot(ctx, o.Upstream.Number)
 	if err != nil {
+		if wait := j.takeWindow(o.Upstream); wait > 0 {
+			return u, j.reject(ReasonOverloaded, wait), false
+		}
 		j.owner = o
 		return o.Upstream, nil, false
 	}
@@ -254,8 +260,9 @@
 	return nil
 }
 
-// finishSlot releases the slot with the result of the attempt, if a scheduler granted one.
+// finishSlot releases the slot with the result of the attempt, if a scheduler granted one, and otherwise the request's part of the window.
 func (j *job) finishSlot(r sched.Result) {
+	j.releaseWindow(r.Completion)
 	if j.slot != nil {
 		j.slot.Finish(r)
 		j.slot = nil
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -196,17 +196,18 @@
 	resultRejected                           // the upstream did not run the request
 	resultConnectFailed                      // the request could not be sent
 	resultAbandoned                          // ended for a reason that is not the upstream's fault
+	resultFull                               // the upstream reset the connection because it has no room; the request may have run
 )
 
 // completion returns the result in the form that the scheduler needs.
 func (r attemptResult) completion() sched.Completion {
 	return [...]sched.Completion{resultAnswered: sched.Answered, resultFailed: sched.Failed, resultRejected: sched.Rejected,
-		resultConnectFailed: sched.ConnectFailed, resultAbandoned: sched.Abandoned}[r]
+		resultConnectFailed: sched.ConnectFailed, resultAbandoned: sched.Abandoned, resultFull: sched.Full}[r]
 }
 
 // String returns the result's name in log lines.
 func (r attemptResult) String() string {
-	return [...]string{"answered", "failed", "turnedAway", "notReached", "abandoned"}[r]
+	return [...]string{"answered", "failed", "turnedAway", "notReached", "abandoned", "full"}[r]
 }
 
 // requestEnded records the result of an attempt: took is its duration, load the upstream's load report or nil.
@@ -248,6 +249,16 @@
 	s.failureRateAt = now
 }
 
+// typicalTime returns the average time that the upstreams of a service take for a request.
+func (t *tracker) typicalTime(service string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if seconds, ok := t.averageLatency[service]; ok {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return rejectedRetryAfter
+}
+
 // updateLatency adds a latency in seconds to the averages of the upstream and its service. The service's average has a smaller weight,
 // as it has more samples.
 func (t *tracker) updateLatency(s *upstreamState, service string, took float64) {
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -62,6 +62,9 @@
 	ControlReachable func() bool
 	// LeaveTime is how long an upstream may still be sent requests after it began to drain.
 	LeaveTime time.Duration
+	// Windows limits the requests without a slot by a window for each upstream, and the connections by this host's share of those that
+	// the upstream accepts. The reset of a new connection then means that the upstream is full.
+	Windows bool
 	// OnLeaving, if set, is called when a response shows that an upstream is leaving.
 	OnLeaving func(p table.Process)
 	Observer  Observer
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -40,7 +40,9 @@
 	ID         string
 	Idempotent bool
 	// MaxIdle is how many idle connections to the upstream are kept, zero for the pool's own limit.
-	MaxIdle    int
+	MaxIdle int
+	// MaxOpen is how many connections to the upstream may be open, zero for any number.
+	MaxOpen    int
 	BeforeSend func() error
 	OnHeader   func(status int, header http.Header)
 }
@@ -68,10 +70,12 @@
 func (e *ErrNotSent) Unwrap() error { return e.Cause }
 
 // ErrNoResponse is returned when the request was sent and no complete response was received, so that the request may have run. Reused
-// is set if the connection had been used before: it may then have been broken while it was idle, without a fault of the upstream.
+// is set if the connection had been used before: it may then have been broken while it was idle, without a fault of the upstream. Reset
+// is set if the upstream reset a new connection before any byte of a response.
 type ErrNoResponse struct {
 	Cause  error
 	Reused bool
+	Reset  bool
 }
 
 // Error returns the message.
@@ -137,6 +141,8 @@
 	writeResult  chan error
 	interrupted  atomic.Bool
 	finished     bool
+	// begun is set once a byte of a response has been received.
+	begun bool
 }
 
 // failure returns the error of Do for a cause, depending on whether any byte was written.
@@ -144,7 +150,7 @@
 	if x.written.Load() == 0 {
 		return &ErrNotSent{Cause: err}
 	}
-	return &ErrNoResponse{Cause: err, Reused: x.reused}
+	return &ErrNoResponse{Cause: err, Reused: x.reused, Reset: !x.reused && !x.begun && isReset(err)}
 }
 
 // Write writes to the connection. Bytes count as written before the write returns, as some of them may already have been sent.
@@ -222,6 +228,12 @@
 func (x *exchange) readHeader(request *http.Request) (r *http.Response, err error) {
 	x.conn.limited.Allow(bound.MaxResponseHeader)
 	defer x.conn.limited.Allow(bound.Unlimited)
+	if _, err = x.conn.reader.Peek(1); err == io.EOF {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return nil, err
+	}
+	x.begun = true
 	r, err = http.ReadResponse(x.conn.reader, request)
 	if err != nil && x.conn.limited.Exhausted() {
 		return nil, errLongHeader
--- a/internal/entry/conns/idle.go
+++ b/internal/entry/conns/idle.go
@@ -49,10 +49,13 @@
 
 // recordReset records a failed exchange as a dropped connection if a reused connection was reset.
 func (p *Pool) recordReset(c *Conn, err error) {
-	if c.uses == 0 || !errors.Is(err, unix.ECONNRESET) && !errors.Is(err, unix.EPIPE) {
+	if c.uses == 0 || !isReset(err) {
 		return
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.drops.dropped(time.Now(), c.idleTime)
 }
+
+// isReset reports whether the other end reset the connection.
+func isReset(err error) bool { return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) }
--- a/internal/entry/conns/pool.go
+++ b/internal/entry/conns/pool.go
@@ -40,6 +40,8 @@
 	idleTime  time.Duration
 	uses      int
 	carried   carried
+	// uncount, if set, removes the connection from the count of open ones.
+	uncount func()
 }
 
 // Pool keeps idle connections by upstream process; it is safe for concurrent use.
@@ -49,12 +51,15 @@
 	dials  int64
 	reuses int64
 	drops  dropLimit
+	open   openConns
 	// connect opens a connection.
 	connect func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}, connect: connect} }
+func NewPool() *Pool {
+	return &Pool{idle: map[string][]*Conn{}, open: openConns{counts: map[string]int{}}, connect: connect}
+}
 
 // Counts returns how many connections were opened and how often one was reused.
 func (p *Pool) Counts() (dials, reuses int64) {
@@ -70,7 +75,7 @@
 	for {
 		c = p.takeIdle(call.Key, call.ID)
 		if c == nil {
-			return p.dial(ctx, call.Key, call.Address)
+			return p.dial(ctx, call)
 		}
 		c.idleTime = time.Since(c.idleSince)
 		if c.idleTime < min(c.maxIdle, maxIdle) && p.idleAllowed(c.idleTime) && c.quiet() {
@@ -98,19 +103,24 @@
 	return nil
 }
 
-func (p *Pool) dial(ctx context.Context, key, address string) (c *Conn, err error) {
+func (p *Pool) dial(ctx context.Context, call *Call) (c *Conn, err error) {
+	uncount, err := p.reserve(call)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	p.mutex.Lock()
 	p.dials++
 	p.mutex.Unlock()
-	raw, err := p.connect(ctx, address)
+	raw, err := p.connect(ctx, call.Address)
 	if err != nil {
+		uncount()
 		return nil, errors.WithMessage(err, "connect to upstream")
 	}
 	limitUnacknowledged(raw)
 	limited := bound.NewReader(raw)
-	return &Conn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer), key: key,
+	return &Conn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer), key: call.Key, uncount: uncount,
 		maxIdle: time.Duration(float64(defaultIdleTime) * idleShare)}, nil
 }
 
@@ -190,7 +200,12 @@
 }
 
 // Close ends a connection.
-func (c *Conn) Close() { _ = c.raw.Close() }
+func (c *Conn) Close() {
+	_ = c.raw.Close()
+	if c.uncount != nil {
+		c.uncount()
+	}
+}
 
 // quiet reports whether an idle connection has nothing to read: neither bytes of a late response nor the end of the connection.
 func (c *Conn) quiet() bool { return c.reader.Buffered() == 0 && !wire.Pending(c.raw) }
--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -184,7 +184,7 @@
 }
 
 // limit returns the number of requests that an upstream gets at a time.
-func (u *upstreamState) limit() int { return max(u.upstream.Slots, 1) }
+func (u *upstreamState) limit() int { return max(u.upstream.Slots-u.restraint.withheld(), 1) }
 
 // cost estimates the service time of a request at an upstream, in units of the average. A failure costs another attempt, so that
 // the cost grows with the failure rate.
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -41,7 +41,8 @@
 	failureRateAt   time.Duration
 	connectFailures map[string]time.Duration
 	// usedBy holds when entry hosts last finished a request there, while they may have an idle connection.
-	usedBy map[string]time.Duration
+	usedBy    map[string]time.Duration
+	restraint restraint
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
@@ -201,7 +202,10 @@
 		u.noteUse(now, host)
 	}
 	switch r.Completion {
+	case Full:
+		u.restraint.full(now, now-r.Took, max(u.upstream.Slots, 1))
 	case Answered:
+		u.restraint.answered(u.limit())
 		u.addSample(now, 0)
 		ratio := float64(r.Took) / float64(max(s.avgTime, time.Millisecond))
 		u.latencyRatio += latencyRatioWeight * (min(max(ratio, 0.2), maxLatencyRatio) - u.latencyRatio)
--- a/internal/entry/sched/scheduler_test.go
+++ b/internal/entry/sched/scheduler_test.go
@@ -157,6 +157,35 @@
 	c.Assert(s.Tick(connectFailureTTL)[0].reply.Decision, qt.Equals, Assigned)
 }
 
+// TestFullUpstreamGetsFewerRequests guards against an upstream that is avoided as unhealthy because it had no room, against one whose
+// resets of a single burst count several times, and against one that stays restrained.
+func TestFullUpstreamGetsFewerRequests(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(upstreamsOf(4))
+	now, id := time.Second, uint64(0)
+	round := func(completion Completion) (assigned int) {
+		now += time.Millisecond
+		first := id + 1
+		for range 4 {
+			id++
+			if replyFor(s.Submit(now, "h", slotRequest(id)), id).Decision == Assigned {
+				assigned++
+			}
+		}
+		now += 100 * time.Millisecond
+		for i := first; i <= id; i++ {
+			s.Finish(now, "h", Result{ID: i, Completion: completion, Took: 100 * time.Millisecond})
+		}
+		return assigned
+	}
+	c.Check([]int{round(Full), round(Full), round(Full)}, qt.DeepEquals, []int{4, 2, 1})
+	c.Check(s.upstreams[1].failureRate, qt.Equals, 0.0)
+	for range 4 {
+		round(Answered)
+	}
+	c.Check(round(Answered), qt.Equals, 4)
+}
+
 // TestRetryBudgetHolds makes as many retries as the scheduler allows and checks their number in every window.
 func TestRetryBudgetHolds(t *testing.T) {
 	c := qt.New(t)
--- a/internal/entry/sched/types.go
+++ b/internal/entry/sched/types.go
@@ -72,6 +72,9 @@
 	ConnectFailed
 	// Abandoned means that the result says nothing about the upstream, for example because the caller disconnected.
 	Abandoned
+	// Full means that the upstream reset a new connection after it was sent the request, as upstreams do that have no room for more. The
+	// request may have run.
+	Full
 )
 
 // Result reports how a request ended and releases its slot. Took is the time that the upstream needed.
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -53,7 +53,7 @@
 // openBroker creates the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Headers: d.platform.HeaderNames(),
-		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable, OnLeaving: d.agent.ReportLeaving,
+		Address: d.settings.Peers(), Table: d.table, LeaveTime: d.settings.LeaveTime(), Windows: d.settings.Windows(), Observer: d.stats, Log: d.log, Clock: clock.Boot, ControlReachable: d.agent.ControlReachable, OnLeaving: d.agent.ReportLeaving,
 		Retries: retry.Limits{Share: d.settings.RetryShare(), Base: d.settings.RetryBase(), Window: d.settings.RetryWindow()}})
 	d.brokerServer = serve.New(serve.Options{Handler: d.broker.Handle, Limits: d.broker.Limits, Clock: clock.Boot, OnRejected: d.broker.Rejected,
 		OnUnanswered: d.broker.Unanswered, OnPanic: d.broker.Panicked})
--- a/internal/shared/conf/settings.go
+++ b/internal/shared/conf/settings.go
@@ -27,6 +27,7 @@
 	descriptors    int
 	processor      float64
 	link           float64
+	windows        bool
 	coldOverrun    float64
 	coldSlack      float64
 	drainNotice    time.Duration
@@ -154,6 +155,9 @@
 // bytesPerMegabit converts a rate in Mbit/s to bytes per second.
 const bytesPerMegabit = 1e6 / 8
 
+// Windows reports whether windows limit the requests without a slot, and whether a reset means that an upstream is full.
+func (s *Settings) Windows() bool { return s.windows }
+
 // ColdOverrun returns the factor by which the requests that arrive at a cold upstream within one second may exceed its rate.
 func (s *Settings) ColdOverrun() float64 { return s.coldOverrun }
 
@@ -251,6 +255,7 @@
 func (s *Settings) readRetries(r *reader) {
 	s.routing = read(r, "callers", "routing", RoutingFiles, oneOf(RoutingFiles, RoutingItems))
 	s.leaveTime = read(r, "callers", "leaveTime", 2*time.Second, durationBetween(0, time.Minute))
+	s.windows = read(r, "callers", "windows", false, yesNo())
 	s.coldOverrun = read(r, "cold", "overrun", 1, numberBetween(1, 100))
 	s.coldSlack = read(r, "cold", "slack", 0, numberBetween(0, 1e6))
 	s.retryShare = read(r, "retries", "share", 0.1, numberBetween(0, 1))
