sched: use the slowness that upstreams report while it is fresh

The fourth figure of a load report was dropped. It goes to the scheduler with the result: for 400 ms it multiplies the latency ratio in the cost of the upstream and in the estimates of waits, and the measured time is divided by it before it is learnt. Requests that such a report counts beyond the scheduler's own are taken off the free slots for as long; one slot stays, so that the upstream is heard of again. Upstreams that state three figures are treated as before.

--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -261,11 +261,11 @@
 }
 
 func (j *job) reportedLoad(got *conns.Response) *loadReport {
-	running, waiting, slots, ok := j.broker.options.Headers.load(got.Header)
+	r, ok := j.broker.options.Headers.load(got.Header)
 	if !ok {
 		return nil
 	}
-	return &loadReport{running: running, waiting: waiting, slots: slots}
+	return &r
 }
 
 func (j *job) discard(got *conns.Response, cancel context.CancelFunc) {
@@ -294,7 +294,7 @@
 	b.upstreams.requestEnded(b.options.Clock(), u, result, took, load)
 	r := sched.Result{Completion: result.completion(), Took: took}
 	if load != nil {
-		r.Running, r.Waiting = load.running, load.waiting
+		r.Running, r.Waiting, r.Slowness = load.running, load.waiting, load.slowness
 	}
 	j.finishSlot(r)
 }
--- a/internal/entry/broker/broker_test.go
+++ b/internal/entry/broker/broker_test.go
@@ -233,6 +233,15 @@
 	f.c.Check(f.recorder.last().Outcome, qt.Equals, relay.Done)
 }
 
+// TestLoadWithSlowness guards against a load report that is dropped because of its fourth figure.
+func TestLoadWithSlowness(t *testing.T) {
+	for text, want := range map[string]int{"1,2,3": 0, "1,2,3,300": 300, "1,2,3, 80.5": 80, "1,2,3,x": 0, "1,2,3,-1": 0, "1,2,3,NaN": 0, "1,2,3,90,7": 90} {
+		r, ok := headerNames.load(http.Header{"Load": {text}})
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, r, qt.Equals, loadReport{running: 1, waiting: 2, slots: 3, slowness: want}, qt.Commentf("%s", text))
+	}
+}
+
 // TestRouteOfThePathAsSent guards against a request that reaches a service which no route names for its path, as an escaped slash counted
 // as a slash.
 func TestRouteOfThePathAsSent(t *testing.T) {
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -274,11 +274,13 @@
 	t.averageLatency[service] = average + latencyWeight/4*(took-average)
 }
 
-// loadReport is the load that an upstream reports in a response.
+// loadReport is the load that an upstream reports in a response. slowness is how long work takes there now, in percent of the usual time,
+// or zero if the upstream does not state it.
 type loadReport struct {
-	running int
-	waiting int
-	slots   int
+	running  int
+	waiting  int
+	slots    int
+	slowness int
 }
 
 // connKey identifies an upstream process in the connection pool.
--- a/internal/entry/broker/types.go
+++ b/internal/entry/broker/types.go
@@ -25,7 +25,8 @@
 	Instance string
 	// NotRun marks responses to requests that did not run.
 	NotRun string
-	// Load holds an upstream's running and waiting requests and its slots, separated by commas.
+	// Load holds an upstream's running and waiting requests and its slots, separated by commas. A fourth figure may state how long work
+	// takes there now, in percent of the usual time.
 	Load string
 	// Proof is set in every response that an upstream's own server generates.
 	Proof string
@@ -126,19 +127,27 @@
 // maxTimeLeft is the longest time that is accepted from a caller's header, in milliseconds.
 const maxTimeLeft = 3_600_000
 
-// load returns the upstream's load from the header of a response, or false if the header field is missing or invalid.
-func (names HeaderNames) load(h http.Header) (running, waiting, slots int, ok bool) {
-	parts := strings.SplitN(h.Get(names.Load), ",", 4)
+// load returns the upstream's load from the header of a response, or false if the header field is missing or invalid. The fourth figure,
+// the slowness, may be missing; one that cannot be read is ignored, as the others are useful without it.
+func (names HeaderNames) load(h http.Header) (r loadReport, ok bool) {
+	parts := strings.SplitN(h.Get(names.Load), ",", 5)
 	if len(parts) < 3 {
-		return 0, 0, 0, false
+		return loadReport{}, false
 	}
-	numbers := [3]int{}
-	for i := range numbers {
+	for i, to := range []*int{&r.running, &r.waiting, &r.slots} {
 		n, err := strconv.Atoi(parts[i])
 		if err != nil || n < 0 {
-			return 0, 0, 0, false
+			return loadReport{}, false
 		}
-		numbers[i] = n
+		*to = n
 	}
-	return numbers[0], numbers[1], numbers[2], true
+	if len(parts) >= 4 {
+		if n, err := strconv.ParseFloat(strings.TrimSpace(parts[3]), 64); err == nil && n >= 1 && n <= maxSlowness {
+			r.slowness = int(n)
+		}
+	}
+	return r, true
 }
+
+// maxSlowness is the largest slowness that is accepted from an upstream, in percent of the usual time.
+const maxSlowness = 100_000
--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -26,6 +26,7 @@
 
 // dispatch assigns free slots to waiting jobs in dispatch order. Jobs for which no suitable slot is free keep waiting.
 func (s *Scheduler) dispatch(now time.Duration) (replies []addressedReply) {
+	s.expireReports(now)
 	free := s.freeSlots()
 	if len(s.waiting) == 0 || free == 0 {
 		return nil
@@ -184,12 +185,14 @@
 }
 
 // limit returns the number of requests that an upstream gets at a time.
-func (u *upstreamState) limit() int { return max(u.upstream.Slots-u.restraint.withheld(), 1) }
+func (u *upstreamState) limit() int {
+	return max(u.upstream.Slots-max(u.restraint.withheld(), u.report.elsewhere), 1)
+}
 
 // cost estimates the service time of a request at an upstream, in units of the average. A failure costs another attempt, so that
 // the cost grows with the failure rate.
 func (u *upstreamState) cost(now time.Duration, dataCentre string) float64 {
-	cost := u.latencyRatio / (1.05 - min(u.failureRateNow(now), 1))
+	cost := u.presentRatio() / (1.05 - min(u.failureRateNow(now), 1))
 	cost += loadCost * float64(u.busy) / float64(u.limit())
 	if u.upstream.DataCentre != dataCentre {
 		cost += remoteCost
@@ -237,7 +240,7 @@
 func (c *capacity) add(u *upstreamState) {
 	c.slots += u.limit()
 	c.free += max(u.limit()-u.busy, 0)
-	c.latencyRatioSum += u.latencyRatio * float64(u.limit())
+	c.latencyRatioSum += u.presentRatio() * float64(u.limit())
 }
 
 // wait estimates the time until a slot is free for a request that has the given number of requests ahead of it.
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -43,6 +43,7 @@
 	// usedBy holds when entry hosts last finished a request there, while they may have an idle connection.
 	usedBy    map[string]time.Duration
 	restraint restraint
+	report    report
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
@@ -66,6 +67,8 @@
 	avgTime   time.Duration
 	retries   *retry.Window
 	baseShare float64
+	// reportsUntil is when the first of the upstreams' reports expires, zero if there is none.
+	reportsUntil time.Duration
 }
 
 // NewScheduler returns a scheduler without upstreams whose retry budget has the given limits.
@@ -112,6 +115,7 @@
 	if !s.hasEligible(j) {
 		return []addressedReply{{key, Reply{ID: r.ID, Decision: NoUpstream}}}
 	}
+	s.expireReports(now)
 	wait := s.expectedWait(now, j)
 	if r.NoQueue && (wait > 0 || s.choose(s.newCosts(now), j, 0) == nil) {
 		return []addressedReply{{key, Reply{ID: r.ID, Decision: Busy, After: max(wait, s.nextFree())}}}
@@ -200,6 +204,7 @@
 	if r.Completion != ConnectFailed && r.Completion != Abandoned {
 		delete(u.connectFailures, host)
 		u.noteUse(now, host)
+		s.recordReport(now, u, r)
 	}
 	switch r.Completion {
 	case Full:
@@ -207,13 +212,13 @@
 	case Answered:
 		u.restraint.answered(u.limit())
 		u.addSample(now, 0)
-		ratio := float64(r.Took) / float64(max(s.avgTime, time.Millisecond))
+		ratio := float64(r.usualTime()) / float64(max(s.avgTime, time.Millisecond))
 		u.latencyRatio += latencyRatioWeight * (min(max(ratio, 0.2), maxLatencyRatio) - u.latencyRatio)
 		s.avgTime += time.Duration(avgTimeWeight * float64(r.Took-s.avgTime))
 	case Failed:
 		u.addSample(now, 1)
-		if r.Took > s.avgTime {
-			u.latencyRatio += latencyRatioWeight * (min(float64(r.Took)/float64(s.avgTime), maxLatencyRatio) - u.latencyRatio)
+		if r.usualTime() > s.avgTime {
+			u.latencyRatio += latencyRatioWeight * (min(float64(r.usualTime())/float64(s.avgTime), maxLatencyRatio) - u.latencyRatio)
 		}
 	case Rejected:
 		u.addSample(now, 1)
--- a/internal/entry/sched/types.go
+++ b/internal/entry/sched/types.go
@@ -77,7 +77,9 @@
 	Full
 )
 
-// Result reports how a request ended and releases its slot. Took is the time that the upstream needed.
+// Result reports how a request ended and releases its slot. Took is the time that the upstream needed. Running and Waiting are the
+// requests that the upstream reported, and Slowness is how long work takes there now, in percent of the usual time, or zero if the
+// upstream does not state it.
 type Result struct {
 	_          struct{} `cbor:",toarray"`
 	ID         uint64
@@ -85,6 +87,7 @@
 	Took       time.Duration
 	Running    int
 	Waiting    int
+	Slowness   int
 }
 
 // addressedReply is a reply with the key of the slot request that it answers.
