--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -184,6 +184,7 @@
 		j.finishAttempt(u, resultFailed, took, nil)
 		b.pool.CloseIdle(connKey(u))
 	case b.options.Windows && isReset(err):
+		b.options.Observer.Noticed(j.service, NoticeFull)
 		j.finishAttempt(u, resultFull, took, nil)
 	default:
 		j.finishAttempt(u, resultFailed, took, nil)
--- a/internal/entry/broker/notice.go
+++ b/internal/entry/broker/notice.go
@@ -115,6 +115,8 @@
 	NoticeLeaving Notice = "leaving"
 	NoticePause   Notice = "pause"
 	NoticeInvalid Notice = "invalid"
+	// NoticeFull stands for the reset of a new connection by an upstream without room.
+	NoticeFull Notice = "full"
 )
 
 // spreadReturn returns the Retry-After time for a request whose upstreams pause for the given time. It differs between callers, so that
--- a/internal/entry/broker/windows_test.go
+++ b/internal/entry/broker/windows_test.go
@@ -46,7 +46,9 @@
 			f.makeSchedulerUnresponsive()
 			statuses := make(chan int, 3)
 			for range 3 {
-				go func() { statuses <- f.handle(path).Status }()
+				go func() {
+					statuses <- f.handle(path, func(r *http.Request) { r.Header.Set("Left", "2000") }).Status
+				}()
 			}
 			f.c.Check(<-statuses, qt.Equals, http.StatusServiceUnavailable) // the upstream has 2 slots and this is the only host
 			f.c.Check(f.recorder.last().Reason, qt.Equals, ReasonOverloaded)
--- a/internal/entry/conns/open_test.go
+++ b/internal/entry/conns/open_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -37,6 +38,7 @@
 	first := make(chan error)
 	go func() { first <- do(ctx, "a") }()
 	for u.conns.Load() == 0 {
+		time.Sleep(time.Millisecond)
 	}
 	var tooMany *ErrTooManyConnections
 	c.Check(errors.As(do(ctx, "b"), &tooMany), qt.IsTrue)
--- a/internal/entry/limit/window_test.go
+++ b/internal/entry/limit/window_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,23 +87,20 @@
 	for i := range all {
 		all[i] = New(slots, hosts)
 	}
-	type sent struct {
+	type request struct {
 		host     int
 		at, ends time.Duration
 	}
-	var there []sent
+	var there []request
 	var free [slots]time.Duration
 	for now := time.Second; now < 60*time.Second; now += time.Millisecond {
-		kept := there[:0]
-		for _, s := range there {
-			if s.ends > now {
-				kept = append(kept, s)
-				continue
+		there = slices.DeleteFunc(there, func(r request) bool {
+			if r.ends <= now {
+				served++
+				all[r.host].Release(now, r.at, work, Succeeded, random.Float64())
 			}
-			served++
-			all[s.host].Release(now, s.at, work, Succeeded, random.Float64())
-		}
-		there = kept
+			return r.ends <= now
+		})
 		host := random.IntN(hosts)
 		if random.Float64() >= 0.036 || limited && all[host].Wait(now, work) > 0 {
 			continue
@@ -113,14 +111,9 @@
 			all[host].Release(now, now, work, Refused, random.Float64())
 			continue
 		}
-		first := 0
-		for i, at := range free {
-			if at < free[first] {
-				first = i
-			}
-		}
-		free[first] = max(free[first], now) + time.Duration((0.7+0.6*random.Float64())*float64(work))
-		there = append(there, sent{host, now, free[first]})
+		slices.Sort(free[:])
+		free[0] = max(free[0], now) + time.Duration((0.7+0.6*random.Float64())*float64(work))
+		there = append(there, request{host, now, free[0]})
 	}
 	return served, resets
 }
--- a/internal/entry/sched/packet_test.go
+++ b/internal/entry/sched/packet_test.go
@@ -19,7 +19,7 @@
 	}
 	sub := Subset{Service: "s"}
 	add(packet{Subset: sub, Requests: []SlotRequest{slotRequest(1), {ID: 2, Upstream: 9, Timeout: -1 << 62, Objective: 1<<63 - 1, Priority: -1 << 31, Exclude: []uint32{1, 1}}}})
-	add(packet{Subset: sub, Results: []Result{{ID: 1, Completion: Answered, Took: -1 << 62, Running: -1}, {ID: 1, Completion: 99}}, Acks: []uint64{0, 7}})
+	add(packet{Subset: sub, Results: []Result{{ID: 1, Completion: Answered, Took: -1 << 62, Running: -1}, {ID: 1, Completion: 99}, {ID: 1, Completion: Full, Took: -1 << 62, Running: 1<<63 - 1, Waiting: 1<<63 - 1, Slowness: -1 << 63}}, Acks: []uint64{0, 7}})
 	add(packet{Subset: Subset{Service: "none", DataCentre: "x", Index: 9}, Replies: []Reply{{ID: 1, Decision: 200, Upstream: 1 << 31, After: -1}}})
 	f.Add([]byte{0x85, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/entry/stats/recorder.go
+++ b/internal/entry/stats/recorder.go
@@ -54,7 +54,7 @@
 		Help: "Requests that were read and whose connection ended without their answers, by cause and by how far they were."},
 		[]string{"cause", "stage"})
 	rec.notices = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ebonyrill_upstream_notices_total",
-		Help: "Responses in which upstreams first say that they leave, ask for a pause, or have an invalid field for either."},
+		Help: "Responses in which upstreams first say that they leave, ask for a pause, or have an invalid field for either, and resets by full ones."},
 		[]string{"service", "notice"})
 	registry.MustRegister(rec.requests, rec.latency, rec.unanswered, rec.notices)
 	return rec
