--- a/internal/entry/broker/attempt.go
+++ b/internal/entry/broker/attempt.go
@@ -26,6 +26,7 @@
 func (j *job) serve(ctx context.Context) *serve.Response {
 	defer j.refundRetry()
 	defer j.releaseReserved()
+	defer j.finishSlot(sched.Result{Completion: sched.Abandoned})
 	for {
 		if ctx.Err() != nil {
 			return j.endedResponse(ctx)
@@ -85,16 +86,22 @@
 	return errors.As(err, &notSent)
 }
 
+// isReset reports whether the upstream reset a new connection after it was sent the request, as one does that is full.
+func isReset(err error) bool {
+	var noResponse *conns.ErrNoResponse
+	return errors.As(err, &noResponse) && noResponse.Reset
+}
+
 // upstreamCall returns the request as it is sent to the upstream.
 func (j *job) upstreamCall(u table.Upstream, left time.Duration) *conns.Call {
 	names := j.broker.options.Headers
 	header := j.header.Clone()
 	header.Set(names.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	header.Set(names.Instance, u.Name)
-	r := j.request.HTTP
+	r, hosts := j.request.HTTP, len(j.broker.options.Table.View().Entries())
 	call := &conns.Call{Key: connKey(u), Address: u.Address, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header,
 		Body: j.request.Body, IDHeader: names.RequestID, ID: j.id, Idempotent: j.idempotent(),
-		MaxIdle: idleConnections(u.Connections, len(j.broker.options.Table.View().Entries())), BeforeSend: func() error { return j.beforeSend(u) }}
+		MaxIdle: idleConnections(u.Connections, hosts), MaxOpen: j.maxConnections(u, hosts), BeforeSend: func() error { return j.beforeSend(u) }}
 	if j.transfer != nil {
 		call.Pace = j.transfer.Body
 	}
@@ -167,11 +174,16 @@
 		if errors.Is(err, errPaused) {
 			j.reason = ReasonPaused
 		}
+		var tooMany *conns.ErrTooManyConnections
+		atLimit := errors.As(err, &tooMany)
+		if atLimit {
+			result, j.reason = resultAbandoned, ReasonOverloaded
+		}
 		j.sends--
 		j.request.SetStage(serve.StageWaiting)
 		j.finishAttempt(u, result, took, nil)
 		j.exclude(u)
-		return nil, true
+		return nil, !(atLimit && j.keyed)
 	}
 	j.attempts++
 	j.mayHaveRun = true
@@ -187,6 +199,9 @@
 	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errFailover):
 		j.finishAttempt(u, resultFailed, took, nil)
 		b.pool.CloseIdle(connKey(u))
+	case b.options.Windows && isReset(err):
+		b.options.Observer.Noticed(j.service, NoticeFull)
+		j.finishAttempt(u, resultFull, took, nil)
 	default:
 		j.finishAttempt(u, resultFailed, took, nil)
 	}
@@ -263,11 +278,11 @@
 }
 
 func (j *job) reportedLoad(got *conns.Response) *loadReport {
-	running, waiting, slots, ok := j.broker.options.Headers.load(got.Header)
+	r, ok := j.broker.options.Headers.load(got.Header)
 	if !ok {
 		return nil
 	}
-	return &loadReport{running: running, waiting: waiting, slots: slots}
+	return &r
 }
 
 func (j *job) discard(got *conns.Response, cancel context.CancelFunc) {
@@ -296,7 +311,7 @@
 	b.upstreams.requestEnded(b.options.Clock(), u, result, took, load)
 	r := sched.Result{Completion: result.completion(), Took: took, ColdLeft: j.coldResult(u)}
 	if load != nil {
-		r.Running, r.Waiting = load.running, load.waiting
+		r.Running, r.Waiting, r.Slowness = load.running, load.waiting, load.slowness
 	}
 	j.finishSlot(r)
 }
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -33,11 +33,8 @@
 }
 
 // schedulerHosts returns the entry hosts, which divide the scheduling of services among them.
-func (b *Broker) schedulerHosts() (list []sched.Host) {
-	for _, e := range b.options.Table.View().Entries() {
-		list = append(list, sched.Host{Name: e.Name, Address: e.Address, DataCentre: e.DataCentre})
-	}
-	return list
+func (b *Broker) schedulerHosts() []sched.Host {
+	return sched.HostsOf(b.options.Table.View().Entries())
 }
 
 // schedulerUpstreams returns the upstreams of a service in the form that the scheduler needs.
@@ -76,10 +73,13 @@
 	}
 	b := j.broker
 	now, view := b.options.Clock(), b.options.Table.View()
-	u, ok := b.upstreams.choose(now, view, j.service, b.options.DataCentre, j.excluded)
+	u, wait, ok := j.chooseUnscheduled(now, view)
 	if ok {
 		return u, nil
 	}
+	if wait > 0 {
+		return u, j.reject(ReasonOverloaded, wait)
+	}
 	pause := b.upstreams.pauseOf(now, view, j.service)
 	if left := b.upstreams.soonestWarm(now, view, j.service); pause == 0 && left > 0 {
 		return u, j.rejectCold(left)
@@ -249,6 +249,9 @@
 		return u, j.rejectCold(left), false
 	}
 	if err != nil {
+		if wait := j.takeWindow(o.Upstream); wait > 0 {
+			return u, j.reject(ReasonOverloaded, wait), false
+		}
 		j.owner = o
 		return o.Upstream, nil, false
 	}
@@ -280,8 +283,9 @@
 	return nil
 }
 
-// finishSlot releases the slot with the result of the attempt, if a scheduler granted one.
+// finishSlot releases the slot with the result of the attempt, if a scheduler granted one, and otherwise the request's part of the window.
 func (j *job) finishSlot(r sched.Result) {
+	j.releaseWindow(r.Completion)
 	if j.slot != nil {
 		j.slot.Finish(r)
 		j.slot = nil
--- a/internal/entry/sched/types.go
+++ b/internal/entry/sched/types.go
@@ -77,10 +77,15 @@
 	ConnectFailed
 	// Abandoned means that the result says nothing about the upstream, for example because the caller disconnected.
 	Abandoned
+	// Full means that the upstream reset a new connection after it was sent the request, as upstreams do that have no room for more. The
+	// request may have run.
+	Full
 )
 
-// Result reports how a request ended and releases its slot. Took is the time that the upstream needed. Unsent is set if no byte of the
-// request was sent, and ColdLeft is how much longer the upstream is cold, as far as the sender knows and the scheduler may not.
+// Result reports how a request ended and releases its slot. Took is the time that the upstream needed. Running and Waiting are the
+// requests that the upstream reported, and Slowness is how long work takes there now, in percent of the usual time, or zero if the
+// upstream does not state it. Unsent is set if no byte of the request was sent, and ColdLeft is how much longer the upstream is cold, as
+// far as the sender knows and the scheduler may not.
 type Result struct {
 	_          struct{} `cbor:",toarray"`
 	ID         uint64
@@ -90,6 +95,7 @@
 	Waiting    int
 	Unsent     bool
 	ColdLeft   time.Duration
+	Slowness   int
 }
 
 // addressedReply is a reply with the key of the slot request that it answers.
