sched: wait and rejection by value, work learnt by route

Routes of one service differ by up to six times in their work, but a scheduler had one average, so that waits and rejections were wrong for both. Slot requests name their route; the order is by value per work, with a floor for each route.

--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -12,6 +12,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/sched"
 	"ebonyrill.dev/ebonyrill/internal/entry/serve"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/items"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -29,6 +30,10 @@
 		Retries: b.options.Retries, Hosts: b.schedulerHosts, Upstreams: b.schedulerUpstreams, CanSchedule: b.options.ControlReachable,
 		OnUnresponsive: func(service, scheduler string, unresponsive bool) {
 			b.options.Log.Write(events.SchedulerSkipped, zap.String("service", service), zap.String("dealer", scheduler), zap.Bool("silent", unresponsive))
+		},
+		OnEvicted: func(service string, e sched.Eviction) {
+			b.options.Log.Write(events.WaitingEvicted, zap.String("service", service), zap.Uint32("route", e.Route), zap.Int("priority", e.Priority),
+				zap.Float64("value", e.Value), zap.Float64("work", e.Work.Seconds()), zap.Float64("wait", e.Wait.Seconds()))
 		}})
 }
 
@@ -143,7 +148,8 @@
 	now := b.options.Clock()
 	route := j.match.Route
 	r.slot, err = b.schedulerNode.Acquire(ctx, j.service, sched.SlotRequest{Upstream: number, Priority: route.Priority, Timeout: j.expires - now,
-		Objective: max(route.Objective-(now-j.arrived), 0), DataCentre: b.options.DataCentre, Exclude: b.excludedFor(now, j), Retry: j.sends > 0, NoQueue: noQueue})
+		Objective: max(route.Objective-(now-j.arrived), 0), DataCentre: b.options.DataCentre, Exclude: b.excludedFor(now, j), Retry: j.sends > 0, NoQueue: noQueue,
+		Route: routeID(j.match)})
 	if err != nil {
 		return reservation{}, err
 	}
@@ -156,6 +162,14 @@
 	return r, nil
 }
 
+// routeID returns the identifier by which the scheduler orders a route's requests, or zero if the route states no objective.
+func routeID(m items.Match) uint32 {
+	if m.Route.Objective <= 0 {
+		return 0
+	}
+	return sched.RouteID(m.Name)
+}
+
 // excludedFor returns the upstreams that must not be used for a request: those that were tried already, those that leave or pause,
 // which the scheduler may not know yet, and those that this host cannot connect to.
 func (b *Broker) excludedFor(now time.Duration, j *job) []uint32 {
--- /dev/null
+++ b/internal/entry/order/book.go
@@ -0,0 +1,135 @@
+package order
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of what is learnt about routes.
+const (
+	memory        = 5 * time.Second // time constant of the counts; longer than requests wait
+	workWeight    = 0.05            // weight of the newest sample of a route's work
+	minSamples    = 8               // samples before a route's own work is used
+	maxWorkFactor = 8.0             // limit on a route's work relative to the service's average, up and down
+	minArrivals   = 4               // recent requests before a route can count as short of its share
+	maxRoutes     = 64              // routes that are told apart, as identifiers come from the network
+)
+
+// Route is what is known about the requests of one route. The counts decay over time.
+type Route struct {
+	book     *Book
+	mixed    bool
+	priority int
+	work     time.Duration
+	samples  int
+	arrived  float64
+	served   float64
+	used     float64
+	at       time.Duration
+}
+
+// Book holds what is known about the routes of one scheduler.
+type Book struct {
+	routes map[uint32]*Route
+	usual  *time.Duration
+	rules  Rules
+}
+
+// NewBook returns a book without routes that orders them by the rules. The caller updates usual, the average work of all routes.
+func NewBook(usual *time.Duration, rules Rules) *Book {
+	return &Book{routes: map[uint32]*Route{}, usual: usual, rules: rules}
+}
+
+// Route returns the route with an identifier. Requests without one, and those of too many routes, share the route zero, which is
+// ordered by due time alone.
+func (b *Book) Route(id uint32, priority int) *Route {
+	if b.routes[id] == nil && len(b.routes) >= maxRoutes {
+		id = 0
+	}
+	r := b.routes[id]
+	if r == nil {
+		r = &Route{book: b, mixed: id == 0}
+		b.routes[id] = r
+	}
+	r.priority = priority
+	return r
+}
+
+// Ordered reports whether the requests of the route are ordered by value.
+func (r *Route) Ordered() bool { return !r.mixed }
+
+// Work returns the expected work of a request: the average of all routes until enough samples are known.
+func (r *Route) Work() time.Duration {
+	if r.mixed || r.samples < minSamples {
+		return *r.book.usual
+	}
+	return r.work
+}
+
+// Learn takes in the work of a request that was answered.
+func (r *Route) Learn(work time.Duration) {
+	usual := float64(*r.book.usual)
+	sample := min(max(float64(work), usual/maxWorkFactor), usual*maxWorkFactor)
+	r.samples++
+	r.work += time.Duration(max(workWeight, 1/float64(r.samples)) * (sample - float64(r.work)))
+}
+
+// Arrive counts a request of the route.
+func (r *Route) Arrive(now time.Duration) {
+	r.decay(now)
+	r.arrived++
+}
+
+// Serve counts a request of the route that got a slot for the given time.
+func (r *Route) Serve(now, slotTime time.Duration) {
+	r.decay(now)
+	r.served++
+	r.used += slotTime.Seconds()
+}
+
+// decay lets the counts decay to the given time. Most calls repeat the time of the last one.
+func (r *Route) decay(now time.Duration) {
+	if now == r.at {
+		return
+	}
+	f := math.Exp(-float64(now-r.at) / float64(memory))
+	r.arrived, r.served, r.used, r.at = r.arrived*f, r.served*f, r.used*f, now
+}
+
+// score returns the route's score, and whether the route is short of its share.
+func (r *Route) score(now time.Duration) (score float64, short bool) {
+	r.decay(now)
+	arrived, served := 0.0, 0.0
+	for _, o := range r.book.routes {
+		o.decay(now)
+		arrived, served = arrived+o.arrived, served+o.served
+	}
+	short = !r.mixed && r.arrived >= minArrivals && r.served*arrived < r.book.rules.Floor*served*r.arrived
+	return r.book.rules.Score(Class{Priority: r.priority, Work: r.Work(), Usual: *r.book.usual, Used: r.used}), short
+}
+
+// Score returns the score by which the route's requests are ordered.
+func (r *Route) Score(now time.Duration) float64 {
+	score, _ := r.score(now)
+	return score
+}
+
+// Share estimates the part of the slots that routes of higher score leave to this one.
+func (r *Route) Share(now time.Duration, slots int) float64 {
+	if r.mixed {
+		return 1
+	}
+	own, _ := r.score(now)
+	higher, demand, total := 0.0, 0.0, 0.0
+	for _, o := range r.book.routes {
+		work := o.arrived * o.Work().Seconds()
+		total += work
+		if o == r {
+			demand = work
+		} else if score, _ := o.score(now); score > own {
+			higher += o.used
+		}
+	}
+	left := 1 - higher/(memory.Seconds()*float64(max(slots, 1)))
+	return max(left, r.book.rules.Floor*demand/max(total, 1e-9), minShare)
+}
--- a/internal/entry/sched/node.go
+++ b/internal/entry/sched/node.go
@@ -45,7 +45,7 @@
 }
 
 // Options configure a node. Hosts and Upstreams return the current content of the routing table. OnUnresponsive, if set, is
-// called when a scheduler becomes unresponsive.
+// called when a scheduler becomes unresponsive, OnEvicted when a waiting request is evicted; the latter must not call the node.
 type Options struct {
 	Self      Host
 	Hosts     func() []Host
@@ -55,6 +55,7 @@
 	// CanSchedule reports whether this host's routing table is recent enough to schedule by.
 	CanSchedule    func() bool
 	OnUnresponsive func(service, scheduler string, unresponsive bool)
+	OnEvicted      func(service string, e Eviction)
 }
 
 // pending is a slot request of this host that waits for replies.
@@ -82,6 +83,7 @@
 	unacked      map[uint64]*unacked
 	unresponsive map[string]time.Duration
 	traffic      traffic
+	evicted      evictedCounts
 	delayed      map[destination]*packet
 	hints        map[Subset]hint
 	nextID       uint64
@@ -216,6 +218,7 @@
 
 // sendReplies passes replies to the requests that they answer, on this host or others. The mutex must be held.
 func (n *Node) sendReplies(subset Subset, replies []addressedReply) {
+	n.reportEvictions(subset)
 	byHost := map[string][]Reply{}
 	for _, a := range replies {
 		if a.key.Host == n.options.Self.Address {
--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -27,25 +27,29 @@
 // dispatch assigns free slots to waiting jobs in dispatch order. Jobs for which no suitable slot is free keep waiting.
 func (s *Scheduler) dispatch(now time.Duration) (replies []addressedReply) {
 	free := s.freeSlots()
-	if len(s.waiting) == 0 || free == 0 {
+	if s.waiting.Len() == 0 || free == 0 {
 		return nil
 	}
 	costs := s.newCosts(now)
 	ahead := 0
-	for _, j := range s.dispatchOrder(now) {
+	var assigned []*job
+	s.waiting.Walk(now, s.freeTargets(costs), false, func(j *job) bool {
 		u := s.choose(costs, j, ahead)
 		if u == nil {
 			ahead++
-			continue
+			return true
 		}
-		s.dequeue(j)
-		j.state = u
-		u.busy++
+		assigned = append(assigned, j)
+		s.assign(now, j, u)
 		replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: Assigned, Upstream: u.upstream.Number}})
 		if free--; free == 0 {
-			break
+			return false
 		}
 		costs.update(u)
+		return true
+	})
+	for _, j := range assigned {
+		s.dequeue(j)
 	}
 	return replies
 }
@@ -57,35 +61,6 @@
 	return n
 }
 
-// dispatchOrder returns the waiting jobs in the order in which they get slots: first those that can still meet their objective,
-// then the others, each by due time. Less urgent requests are due later but do not starve.
-func (s *Scheduler) dispatchOrder(now time.Duration) []*job {
-	list := make([]*job, 0, len(s.waiting))
-	for _, late := range []bool{false, true} {
-		for _, j := range s.waiting {
-			if late == (now+time.Duration(avgTimeMargin*float64(s.avgTime)) > j.arrived+j.request.Objective) {
-				list = append(list, j)
-			}
-		}
-	}
-	return list
-}
-
-// enqueue inserts a job into the waiting list, which is sorted by due time.
-func (s *Scheduler) enqueue(j *job) {
-	i, _ := slices.BinarySearchFunc(s.waiting, j, func(a, b *job) int {
-		if a.due <= b.due {
-			return -1
-		}
-		return 1
-	})
-	s.waiting = slices.Insert(s.waiting, i, j)
-}
-
-func (s *Scheduler) dequeue(j *job) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(o *job) bool { return o == j })
-}
-
 // costs caches the cost of each reachable upstream at one point in time, by the data centre of the requesting entry host.
 type costs struct {
 	now          time.Duration
@@ -179,7 +154,7 @@
 	}
 	better := sum / float64(slots)
 	wait := better * float64(ahead+1) / float64(slots)
-	expected := time.Duration((wait + better) * float64(s.avgTime))
+	expected := time.Duration(wait*float64(s.avgTime) + better*float64(j.route.Work()))
 	return wait+better+minAdvantage/2 < cost && c.now+expected < j.arrived+j.request.Objective
 }
 
@@ -206,9 +181,9 @@
 // serviceTime estimates how long a request takes once it has a slot.
 func (s *Scheduler) serviceTime(j *job) time.Duration {
 	if u := s.upstreams[j.request.Upstream]; u != nil {
-		return time.Duration(float64(s.avgTime) * min(u.latencyRatio, 2))
+		return time.Duration(float64(j.route.Work()) * min(u.latencyRatio, 2))
 	}
-	return s.avgTime
+	return j.route.Work()
 }
 
 // capacity sums up the slots of the upstreams that may run a request. Latency ratios are weighted by slots.
@@ -239,53 +214,3 @@
 	c.free += max(u.limit()-u.busy, 0)
 	c.latencyRatioSum += u.latencyRatio * float64(u.limit())
 }
-
-// wait estimates the time until a slot is free for a request that has the given number of requests ahead of it.
-func (c capacity) wait(avgTime time.Duration, ahead int) time.Duration {
-	if c.slots == 0 {
-		return connectFailureTTL // no reachable upstream until the connect failures expire
-	}
-	if c.free > ahead {
-		return 0
-	}
-	return time.Duration(float64(avgTime) * c.latencyRatioSum / float64(c.slots) * float64(ahead-c.free+1) / float64(c.slots))
-}
-
-// expectedWait estimates the time until a slot is free for a request, from the number of requests ahead of it.
-func (s *Scheduler) expectedWait(now time.Duration, j *job) time.Duration {
-	ahead := 0
-	for _, o := range s.waiting {
-		if o.due > j.due {
-			break
-		}
-		if o != j && (j.request.Upstream == 0 || o.request.Upstream == j.request.Upstream) {
-			ahead++
-		}
-	}
-	return s.capacityFor(now, j).wait(s.avgTime, ahead)
-}
-
-// unservable returns the waiting jobs that can no longer be served in time, with the estimated time until each would get a slot.
-func (s *Scheduler) unservable(now time.Duration) (list []*job, waits []time.Duration) {
-	capacities, ahead := map[uint32]capacity{}, map[uint32]int{}
-	for i, j := range s.waiting {
-		only := j.request.Upstream
-		c, ok := capacities[only]
-		if !ok || len(j.request.Exclude) > 0 {
-			c = s.capacityFor(now, j)
-			if len(j.request.Exclude) == 0 {
-				capacities[only] = c
-			}
-		}
-		before := i
-		if only != 0 {
-			before = ahead[only]
-			ahead[only]++
-		}
-		wait := c.wait(s.avgTime, before)
-		if now+s.serviceTime(j)/2 > j.expires || now+wait > j.expires {
-			list, waits = append(list, j), append(waits, wait)
-		}
-	}
-	return list, waits
-}
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/order"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 )
 
@@ -45,13 +46,15 @@
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
-// Waiting jobs are ordered by due: their arrival plus the objective, plus half an objective for each level of priority.
+// Waiting jobs of one route are ordered by due. Without a route identifier that is their arrival plus the objective, plus half an
+// objective for each level of priority.
 type job struct {
 	key     Key
 	request SlotRequest
 	arrived time.Duration
 	expires time.Duration
 	due     time.Duration
+	route   *order.Route
 	state   *upstreamState
 }
 
@@ -61,15 +64,20 @@
 	upstreams map[uint32]*upstreamState
 	numbers   []uint32
 	jobs      map[Key]*job
-	waiting   []*job
+	waiting   *order.Lines[*job]
+	book      *order.Book
 	avgTime   time.Duration
 	retries   *retry.Window
 	baseShare float64
+	evictions []Eviction
 }
 
 // NewScheduler returns a scheduler without upstreams whose retry budget has the given limits.
 func NewScheduler(limits retry.Limits) *Scheduler {
-	return &Scheduler{upstreams: map[uint32]*upstreamState{}, jobs: map[Key]*job{}, avgTime: initialAvgTime, retries: retry.NewWindow(limits, retryShare)}
+	s := &Scheduler{upstreams: map[uint32]*upstreamState{}, jobs: map[Key]*job{}, waiting: order.NewLines[*job](),
+		avgTime: initialAvgTime, retries: retry.NewWindow(limits, retryShare)}
+	s.book = order.NewBook(&s.avgTime, order.Default())
+	return s
 }
 
 // SetUpstreams sets the upstreams to those of the routing table. baseShare is this subset's share of the service's base retry
@@ -106,8 +114,7 @@
 	if j := s.jobs[key]; j != nil {
 		return []addressedReply{{key, s.replyTo(now, j)}}
 	}
-	j := &job{key: key, request: r, arrived: now, expires: now + r.Timeout}
-	j.due = now + r.Objective + r.Objective*time.Duration(r.Priority)/2
+	j := s.newJob(now, key, r)
 	if !s.hasEligible(j) {
 		return []addressedReply{{key, Reply{ID: r.ID, Decision: NoUpstream}}}
 	}
@@ -118,15 +125,16 @@
 	if !r.Retry {
 		s.retries.Request(now)
 	}
+	j.route.Arrive(now)
 	if wait > 0 && now+wait+s.serviceTime(j) > j.expires {
-		return []addressedReply{{key, Reply{ID: r.ID, Decision: Overloaded, After: wait}}}
+		return []addressedReply{{key, Reply{ID: r.ID, Decision: Overloaded, After: s.retryAfter(now, j, wait)}}}
 	}
 	if r.Retry && !s.retries.Spend(now, s.baseShare) {
 		return []addressedReply{{key, Reply{ID: r.ID, Decision: BudgetSpent}}}
 	}
 	s.jobs[key] = j
 	s.enqueue(j)
-	replies = s.dispatch(now)
+	replies = append(s.dispatch(now), s.evict(now, j)...)
 	if j.state == nil && s.jobs[key] == j {
 		replies = append(replies, addressedReply{key, s.replyTo(now, j)})
 	}
@@ -161,7 +169,7 @@
 	}
 	s.remove(j)
 	if u := j.state; u != nil {
-		s.recordResult(now, u, host, r)
+		s.recordResult(now, j, host, r)
 	}
 	return s.dispatch(now)
 }
@@ -171,7 +179,8 @@
 	list, waits := s.unservable(now)
 	for i, j := range list {
 		s.remove(j)
-		replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: Overloaded, After: waits[i]}})
+		s.noteEviction(now, j, waits[i])
+		replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: Overloaded, After: s.retryAfter(now, j, waits[i])}})
 	}
 	for _, j := range s.jobs {
 		if j.state != nil && now > j.expires+expiryGrace {
@@ -182,7 +191,7 @@
 }
 
 // Load returns the number of slots in use and of waiting requests.
-func (s *Scheduler) Load() (busy, waiting int) { return len(s.jobs) - len(s.waiting), len(s.waiting) }
+func (s *Scheduler) Load() (busy, waiting int) { return len(s.jobs) - s.waiting.Len(), s.waiting.Len() }
 
 // remove deletes a job and releases its slot, if it has one.
 func (s *Scheduler) remove(j *job) {
@@ -194,8 +203,10 @@
 	s.dequeue(j)
 }
 
-// recordResult updates an upstream's latency ratio, failure rate and connect failures from a result.
-func (s *Scheduler) recordResult(now time.Duration, u *upstreamState, host string, r Result) {
+// recordResult updates the latency ratio, failure rate and connect failures of a job's upstream, and the work of its route, from a
+// result.
+func (s *Scheduler) recordResult(now time.Duration, j *job, host string, r Result) {
+	u, work := j.state, max(j.route.Work(), time.Millisecond)
 	if r.Completion != ConnectFailed && r.Completion != Abandoned {
 		delete(u.connectFailures, host)
 		u.noteUse(now, host)
@@ -203,13 +214,14 @@
 	switch r.Completion {
 	case Answered:
 		u.addSample(now, 0)
-		ratio := float64(r.Took) / float64(max(s.avgTime, time.Millisecond))
+		s.learnWork(j, r.Took)
+		ratio := float64(r.Took) / float64(work)
 		u.latencyRatio += latencyRatioWeight * (min(max(ratio, 0.2), maxLatencyRatio) - u.latencyRatio)
 		s.avgTime += time.Duration(avgTimeWeight * float64(r.Took-s.avgTime))
 	case Failed:
 		u.addSample(now, 1)
-		if r.Took > s.avgTime {
-			u.latencyRatio += latencyRatioWeight * (min(float64(r.Took)/float64(s.avgTime), maxLatencyRatio) - u.latencyRatio)
+		if r.Took > work {
+			u.latencyRatio += latencyRatioWeight * (min(float64(r.Took)/float64(work), maxLatencyRatio) - u.latencyRatio)
 		}
 	case Rejected:
 		u.addSample(now, 1)
--- a/internal/entry/sched/types.go
+++ b/internal/entry/sched/types.go
@@ -13,7 +13,8 @@
 // SlotRequest is a request for a slot. Upstream is the number of the only upstream that may run the request, or zero for any in
 // the subset. Timeout is the time until the request expires. Objective is the time within which it should be answered. Exclude
 // lists upstreams that must not be used. If NoQueue is set, the request is rejected instead of queued when no slot is free,
-// because another subset may have a free one. Retry marks a retry, which is counted against the service's retry budget.
+// because another subset may have a free one. Retry marks a retry, which is counted against the service's retry budget. Route
+// identifies the request's route (see RouteID); it is zero if requests are to be ordered by due time alone.
 type SlotRequest struct {
 	_          struct{} `cbor:",toarray"`
 	ID         uint64
@@ -25,6 +26,7 @@
 	DataCentre string
 	Exclude    []uint32
 	Retry      bool
+	Route      uint32
 }
 
 // Decision is the scheduler's decision on a slot request.
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/kataras/iris/v12"
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/broker"
+	"ebonyrill.dev/ebonyrill/internal/entry/sched"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 )
 
@@ -82,6 +84,11 @@
 		_, waiting := d.broker.SchedulerNode().Load()
 		return float64(waiting)
 	})
+	for priority := range sched.EvictedLevels {
+		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "ebonyrill_dealt_evicted_total",
+			Help:        "Waiting requests that this host's schedulers rejected because too little time was left, by priority; 3 counts lower ones too.",
+			ConstLabels: prometheus.Labels{"priority": strconv.Itoa(priority)}}, func() float64 { return float64(d.broker.SchedulerNode().Evicted(priority)) }))
+	}
 	gauge("ebonyrill_upstreams_unwilling", "Upstreams that leave, or have asked this host for a pause that is not over.", func() float64 {
 		return float64(len(d.broker.Unwilling()))
 	})
--- a/internal/shared/events/events.go
+++ b/internal/shared/events/events.go
@@ -104,6 +104,7 @@
 	LeavingNoticed       = event(3210, zap.InfoLevel, LayerEntry, "response shows that its upstream is leaving")
 	PauseNoticed         = event(3211, zap.InfoLevel, LayerEntry, "upstream asked this host for a pause")
 	NoticeInvalid        = event(3212, zap.WarnLevel, LayerEntry, "header field of an upstream's response is invalid or exceeds its limit")
+	WaitingEvicted       = event(3221, zap.DebugLevel, LayerEntry, "waiting request evicted from a scheduler's queue")
 	ResponseTruncated    = event(3201, zap.WarnLevel, LayerEntry, "upstream's response was truncated, caller's connection closed")
 	IdleConnsClosed      = event(3202, zap.InfoLevel, LayerEntry, "connection unresponsive, idle ones to the same upstream closed")
 )
