--- a/internal/entry/order/lines.go
+++ b/internal/entry/order/lines.go
@@ -126,8 +126,8 @@
 	return p.from < p.end
 }
 
-// parts returns the parts of a line. For estimates, a mixed line is one part by due time.
-func (q *line[J]) parts(now time.Duration, estimate bool) []part[J] {
+// parts appends the parts of a line to a list. For estimates, a mixed line is one part by due time.
+func (q *line[J]) parts(list []part[J], now time.Duration, estimate bool) []part[J] {
 	score, short := q.route.score(now)
 	onTime, late := tierOnTime, tierLate
 	if short {
@@ -135,15 +135,15 @@
 	}
 	n := len(q.list)
 	if q.route.mixed && estimate {
-		return []part[J]{{line: q, tier: onTime, score: score, end: n}}
+		return append(list, part[J]{line: q, tier: onTime, score: score, end: n})
 	}
 	first, last := 0, n
 	if !q.route.mixed {
 		first = sort.Search(n, func(i int) bool { return !q.late(now, q.list[i]) })
 		last = first
 	}
-	return []part[J]{{line: q, tier: onTime, score: score, from: first, end: n, skip: q.route.mixed},
-		{line: q, tier: late, score: score, end: last, skip: q.route.mixed, isLate: true}}
+	return append(list, part[J]{line: q, tier: onTime, score: score, from: first, end: n, skip: q.route.mixed},
+		part[J]{line: q, tier: late, score: score, end: last, skip: q.route.mixed, isLate: true})
 }
 
 // Walk visits the requests for the targets in the order in which they get slots, until visit returns false. The lines must not be
@@ -152,7 +152,7 @@
 	var parts []part[J]
 	for _, target := range targets {
 		for _, q := range l.targets[target] {
-			parts = append(parts, q.parts(now, estimate)...)
+			parts = q.parts(parts, now, estimate)
 		}
 	}
 	for {
@@ -187,22 +187,23 @@
 		count += n
 		work += time.Duration(n) * r.Work()
 	}
+	var parts []part[J]
 	for t, lines := range l.targets {
-		if target != 0 && t != target {
-			continue
-		}
 		for _, q := range lines {
-			for _, p := range q.parts(now, true) {
-				add(p.ahead(&own, j), q.route)
+			if target == 0 || t == target {
+				parts = q.parts(parts, now, true)
 			}
 		}
 	}
+	for i := range parts {
+		add(parts[i].ahead(&own, j), parts[i].line.route)
+	}
 	return count, work
 }
 
 // part returns the part of a line with one request.
 func (q *line[J]) part(now time.Duration) part[J] {
-	for _, p := range q.parts(now, true) {
+	for _, p := range q.parts(nil, now, true) {
 		if p.from < p.end {
 			return p
 		}
@@ -232,7 +233,7 @@
 func (l *Lines[J]) Last(now time.Duration, target uint32) (last J, ok bool) {
 	var lowest *part[J]
 	for _, q := range l.targets[target] {
-		for _, p := range q.parts(now, true) {
+		for _, p := range q.parts(nil, now, true) {
 			if p.from == p.end {
 				continue
 			}
--- a/internal/entry/order/value.go
+++ b/internal/entry/order/value.go
@@ -8,7 +8,7 @@
 // Parameters of the order. The replays in internal/entry/sched/value_test.go compare them with the alternatives.
 const (
 	levelFactor = 2.0  // weight of one level of priority
-	maxLevel    = 8    // lower priorities weigh no less, so that scores stay comparable
+	maxLevel    = 8    // lower priorities weigh no less than this level
 	minShare    = 0.1  // least share of the slots assumed for a route in estimates, so that waits stay finite
 	planMargin  = 1.3  // factor on the work when planning a request, as requests and upstreams differ
 	patience    = 1.05 // a Retry-After beyond what callers honour exceeds that by this factor at least
@@ -40,8 +40,9 @@
 	Floor float64
 }
 
-// Default returns the rules in use. A quarter is the least share that callers accept; the rest of the floor covers lags.
-func Default() Rules { return Rules{Score: ValuePerWork, Floor: 0.4} }
+// Default returns the rules in use. A quarter is the least share that callers accept. The floor is little above it, as it costs value,
+// and as callers that return count again, which lowers the share of a route that is rejected often below that of its callers.
+func Default() Rules { return Rules{Score: ValuePerWork, Floor: 0.27} }
 
 // Weight returns the value of a request that is answered within its objective.
 func Weight(priority int) float64 {
--- a/internal/entry/sched/queue.go
+++ b/internal/entry/sched/queue.go
@@ -104,54 +104,39 @@
 	}
 }
 
-// queueWalk accumulates what is ahead of each waiting request, for all requests or those that name one upstream.
-type queueWalk struct {
-	ahead int
-	work  time.Duration
-}
-
-func (w *queueWalk) add(j *job) {
-	w.ahead++
-	w.work += j.route.Work()
-}
-
 // unservable returns the waiting jobs that can no longer be served in time, with the estimated time until each would get a slot.
+// Requests for one upstream wait only behind each other, those for any upstream behind all.
 func (s *Scheduler) unservable(now time.Duration) (list []*job, waits []time.Duration) {
-	if s.waiting.Len() == 0 {
-		return nil, nil
-	}
-	capacities, shares, slots := map[uint32]capacity{}, map[*order.Route]float64{}, s.totalSlots()
-	var all queueWalk
-	named := map[uint32]*queueWalk{}
-	s.waiting.Walk(now, s.waiting.Targets(), true, func(j *job) bool {
-		only := j.request.Upstream
-		c, ok := capacities[only]
-		if !ok || len(j.request.Exclude) > 0 {
-			c = s.capacityFor(now, j)
-			if len(j.request.Exclude) == 0 {
-				capacities[only] = c
-			}
+	targets := s.waiting.Targets()
+	for _, target := range targets {
+		walked := []uint32{target}
+		if target == 0 {
+			walked = targets
 		}
-		before := &all
-		if only != 0 {
-			if named[only] == nil {
-				named[only] = &queueWalk{}
+		var c capacity
+		ahead, work, shares := 0, time.Duration(0), map[*order.Route]float64{}
+		s.waiting.Walk(now, walked, true, func(j *job) bool {
+			if j.request.Upstream == target {
+				if shares[j.route] == 0 {
+					shares[j.route] = j.route.Share(now, s.totalSlots())
+				}
+				own := c
+				if c.slots == 0 || len(j.request.Exclude) > 0 {
+					own = s.capacityFor(now, j)
+				}
+				if len(j.request.Exclude) == 0 {
+					c = own
+				}
+				wait := own.wait(s.avgTime, ahead, work, shares[j.route])
+				if now+s.serviceTime(j)/2 > j.expires || now+wait > j.expires {
+					list, waits = append(list, j), append(waits, wait)
+				}
 			}
-			before = named[only]
-		}
-		if shares[j.route] == 0 {
-			shares[j.route] = j.route.Share(now, slots)
-		}
-		wait := c.wait(s.avgTime, before.ahead, before.work, shares[j.route])
-		if now+s.serviceTime(j)/2 > j.expires || now+wait > j.expires {
-			list, waits = append(list, j), append(waits, wait)
-		}
-		all.add(j)
-		if only != 0 {
-			before.add(j)
-		}
-		return true
-	})
+			ahead++
+			work += j.route.Work()
+			return true
+		})
+	}
 	return list, waits
 }
 
--- a/internal/entry/sched/scheduler_test.go
+++ b/internal/entry/sched/scheduler_test.go
@@ -262,7 +262,7 @@
 // returns how long an upstream takes, finish releases the slot, and tick runs the scheduler's periodic work.
 type replay struct {
 	submit func(now time.Duration, id uint64) []addressedReply
-	work   func(upstream uint32) time.Duration
+	work   func(id uint64, upstream uint32) time.Duration
 	finish func(now time.Duration, r runningRequest) []addressedReply
 	tick   func(now time.Duration) []addressedReply
 }
@@ -274,7 +274,7 @@
 	start := func(now time.Duration, replies []addressedReply) {
 		for _, a := range replies {
 			if a.reply.Decision == Assigned {
-				started = append(started, runningRequest{id: a.reply.ID, endsAt: now + rp.work(a.reply.Upstream), started: now})
+				started = append(started, runningRequest{id: a.reply.ID, endsAt: now + rp.work(a.reply.ID, a.reply.Upstream), started: now})
 			}
 		}
 	}
@@ -316,7 +316,7 @@
 			}
 			return s.Submit(now, host(id), request)
 		},
-		work: func(upstream uint32) time.Duration { return w.work(random, upstream) },
+		work: func(_ uint64, upstream uint32) time.Duration { return w.work(random, upstream) },
 		finish: func(now time.Duration, r runningRequest) []addressedReply {
 			return s.Finish(now, host(r.id), Result{ID: r.id, Completion: Answered, Took: now - r.started})
 		},
--- a/internal/entry/sched/subset_test.go
+++ b/internal/entry/sched/subset_test.go
@@ -159,7 +159,9 @@
 			assigned[id], replies = sr.submit(now, SlotRequest{ID: id, Priority: 1, Timeout: replayTimeout, Objective: replayObjective, DataCentre: centre})
 			return replies
 		},
-		work: func(uint32) time.Duration { return time.Duration((0.7 + 0.6*sr.random.Float64()) * float64(took)) },
+		work: func(uint64, uint32) time.Duration {
+			return time.Duration((0.7 + 0.6*sr.random.Float64()) * float64(took))
+		},
 		finish: func(now time.Duration, r runningRequest) []addressedReply {
 			return sr.schedulers[assigned[r.id]].Finish(now, "h", Result{ID: r.id, Completion: Answered, Took: now - r.started})
 		},
