--- a/internal/entry/order/value.go
+++ b/internal/entry/order/value.go
@@ -40,9 +40,9 @@
 	Floor float64
 }
 
-// Default returns the rules in use. A quarter is the least share that callers accept. The floor is little above it, as it costs value,
-// and as callers that return count again, which lowers the share of a route that is rejected often below that of its callers.
-func Default() Rules { return Rules{Score: ValuePerWork, Floor: 0.27} }
+// Default returns the rules in use. A quarter is the least share that callers accept. The rest of the floor covers lags and requests that
+// get a slot but no response in time: with 0.27, downloads of records were served 0.22 times as often as all at three times its capacity.
+func Default() Rules { return Rules{Score: ValuePerWork, Floor: 0.3} }
 
 // Weight returns the value of a request that is answered within its objective.
 func Weight(priority int) float64 {
--- a/internal/entry/sched/value_test.go
+++ b/internal/entry/sched/value_test.go
@@ -46,12 +46,13 @@
 
 const overloadUpstreams = 12
 
-// policies are the orders that the replays compare, the one in use first. Due time is the order without route identifiers.
+// policies are the orders that the replays compare, the one in use first, also with callers that do not come back. Due time is the order without route identifiers.
 var policies = []struct {
 	name  string
 	rules order.Rules
 }{
 	{"value per work", order.Default()},
+	{"value, no returns", order.Default()},
 	{"due time", order.Rules{}},
 	{"strict priority", order.Rules{Score: func(c order.Class) float64 { return -float64(c.Priority) }}},
 	{"weighted fair shares", order.Rules{Score: func(c order.Class) float64 { return -c.Used / order.Weight(c.Priority) }}},
@@ -77,6 +78,7 @@
 	calls     map[uint64]call
 	returning map[time.Duration][]call
 	routed    bool
+	returns   int
 }
 
 func (o *overload) submit(now time.Duration, c call) []addressedReply {
@@ -93,7 +95,7 @@
 	for _, a := range replies {
 		c := o.calls[a.reply.ID]
 		left := c.began + c.route.limit - now
-		if c.returns++; a.reply.Decision == Overloaded && c.returns <= 2 && left > 0 {
+		if c.returns++; a.reply.Decision == Overloaded && c.returns <= o.returns && left > 0 {
 			at := (now + max(min(a.reply.After, left/3), ms)).Truncate(ms)
 			o.returning[at] = append(o.returning[at], c)
 		}
@@ -165,10 +167,13 @@
 				t.Parallel()
 				chosen := 0.0
 				for i, p := range policies {
-					if i > 1 && !testing.Verbose() {
+					if i > 2 && !testing.Verbose() {
 						break // the others have no check; their figures are for docs/design/order.md
 					}
-					o := &overload{load: l, routed: p.rules.Score != nil, calls: map[uint64]call{}, returning: map[time.Duration][]call{}}
+					o := &overload{load: l, routed: p.rules.Score != nil, returns: 2, calls: map[uint64]call{}, returning: map[time.Duration][]call{}}
+					if i == 1 {
+						o.returns = 0
+					}
 					o.load.routes = slices.Clone(l.routes)
 					o.scheduler = newScheduler(upstreamsOf(slices.Repeat([]int{l.slots}, overloadUpstreams)...))
 					if o.routed {
@@ -186,8 +191,8 @@
 					t.Logf("%-24s value %.3f, all %.2f%s", p.name, value, all, text)
 					if i == 0 {
 						chosen = value
-						qt.Check(t, starves || inverted, qt.IsFalse)
 					}
+					qt.Check(t, i <= 1 && (starves || inverted), qt.IsFalse)
 					qt.Check(t, p.name != "due time" || starves || chosen >= value, qt.IsTrue)
 				}
 			})
