--- a/internal/entry/sched/cold.go
+++ b/internal/entry/sched/cold.go
@@ -68,10 +68,11 @@
 	granted   bool
 }
 
-// assign gives a job a slot, which is a permit if the upstream is cold, and returns the reply.
+// assign gives a job a slot, which is a permit if the upstream is cold, and returns the reply. The job must be dequeued afterwards.
 func (s *Scheduler) assign(now time.Duration, j *job, u *upstreamState) addressedReply {
 	j.state = u
 	u.busy++
+	j.route.Serve(now, time.Duration(float64(j.route.Work())*u.latencyRatio))
 	if u.cold.left(now) > 0 {
 		u.cold.bucket.Take(now)
 		j.permit = permit{grantedAt: now, granted: true}
--- a/internal/entry/sched/cold_test.go
+++ b/internal/entry/sched/cold_test.go
@@ -62,7 +62,7 @@
 			owner[id] = sr.schedulers[sub]
 			return record(replies)
 		},
-		work: func(u uint32) time.Duration {
+		work: func(_ uint64, u uint32) time.Duration {
 			if u > 100 && now < 3*time.Second {
 				return 160 * time.Millisecond
 			}
--- a/internal/entry/sched/report_test.go
+++ b/internal/entry/sched/report_test.go
@@ -73,7 +73,7 @@
 			at = now
 			return s.Submit(now, "h", SlotRequest{ID: id, Timeout: replayTimeout, Objective: replayObjective, DataCentre: "d"})
 		},
-		work: func(upstream uint32) time.Duration {
+		work: func(_ uint64, upstream uint32) time.Duration {
 			left := (0.7 + 0.6*random.Float64()) * (0.5 + float64(upstream-1)/44) * 160
 			end := at
 			for ; left > 0; end += time.Millisecond {
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/order"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 )
 
@@ -48,13 +49,15 @@
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
-// Waiting jobs are ordered by due: their arrival plus the objective, plus half an objective for each level of priority.
+// Waiting jobs of one route are ordered by due. Without a route identifier that is their arrival plus the objective, plus half an
+// objective for each level of priority.
 type job struct {
 	key     Key
 	request SlotRequest
 	arrived time.Duration
 	expires time.Duration
 	due     time.Duration
+	route   *order.Route
 	state   *upstreamState
 	permit  permit
 }
@@ -65,19 +68,23 @@
 	upstreams map[uint32]*upstreamState
 	numbers   []uint32
 	jobs      map[Key]*job
-	waiting   []*job
+	waiting   *order.Lines[*job]
+	book      *order.Book
 	avgTime   time.Duration
 	retries   *retry.Window
 	baseShare float64
 	permits   *permitCounts
 	// reportsUntil is when the first of the upstreams' reports expires, zero if there is none.
 	reportsUntil time.Duration
+	evictions    []Eviction
 }
 
 // NewScheduler returns a scheduler without upstreams whose retry budget has the given limits.
 func NewScheduler(limits retry.Limits) *Scheduler {
-	return &Scheduler{upstreams: map[uint32]*upstreamState{}, jobs: map[Key]*job{}, avgTime: initialAvgTime, retries: retry.NewWindow(limits, retryShare),
-		permits: &permitCounts{}}
+	s := &Scheduler{upstreams: map[uint32]*upstreamState{}, jobs: map[Key]*job{}, waiting: order.NewLines[*job](),
+		avgTime: initialAvgTime, retries: retry.NewWindow(limits, retryShare), permits: &permitCounts{}}
+	s.book = order.NewBook(&s.avgTime, order.Default())
+	return s
 }
 
 // SetUpstreams sets the upstreams to those of the routing table. baseShare is this subset's share of the service's base retry
@@ -105,7 +112,7 @@
 		s.numbers = append(s.numbers, number)
 	}
 	slices.Sort(s.numbers)
-	return append(s.rejectClosed(), s.dispatch(now)...)
+	return append(s.rejectClosed(now), s.dispatch(now)...)
 }
 
 // Submit decides on a slot request of a host: it assigns a slot, queues the request or rejects it. A request that is already
@@ -115,8 +122,7 @@
 	if j := s.jobs[key]; j != nil {
 		return []addressedReply{{key, s.replyTo(now, j)}}
 	}
-	j := &job{key: key, request: r, arrived: now, expires: now + r.Timeout}
-	j.due = now + r.Objective + r.Objective*time.Duration(r.Priority)/2
+	j := s.newJob(now, key, r)
 	if !s.hasEligible(j) {
 		return []addressedReply{{key, Reply{ID: r.ID, Decision: NoUpstream}}}
 	}
@@ -128,15 +134,16 @@
 	if !r.Retry {
 		s.retries.Request(now)
 	}
+	j.route.Arrive(now)
 	if wait > 0 && now+wait+s.serviceTime(j) > j.expires {
-		return []addressedReply{{key, Reply{ID: r.ID, Decision: Overloaded, After: wait}}}
+		return []addressedReply{{key, Reply{ID: r.ID, Decision: Overloaded, After: s.retryAfter(now, j, wait)}}}
 	}
 	if r.Retry && !s.retries.Spend(now, s.baseShare) {
 		return []addressedReply{{key, Reply{ID: r.ID, Decision: BudgetSpent}}}
 	}
 	s.jobs[key] = j
 	s.enqueue(j)
-	replies = s.dispatch(now)
+	replies = append(s.dispatch(now), s.evict(now, j)...)
 	if j.state == nil && s.jobs[key] == j {
 		s.countWait(now, j)
 		replies = append(replies, addressedReply{key, s.replyTo(now, j)})
@@ -172,7 +179,7 @@
 	}
 	s.remove(j)
 	if u := j.state; u != nil {
-		s.recordResult(now, u, host, r)
+		s.recordResult(now, j, host, r)
 		j.recordCold(now, r)
 	}
 	return s.dispatch(now)
@@ -183,7 +190,8 @@
 	list, waits := s.unservable(now)
 	for i, j := range list {
 		s.remove(j)
-		replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: Overloaded, After: waits[i]}})
+		s.noteEviction(now, j, waits[i])
+		replies = append(replies, addressedReply{j.key, Reply{ID: j.key.ID, Decision: Overloaded, After: s.retryAfter(now, j, waits[i])}})
 	}
 	for _, j := range s.jobs {
 		if j.state != nil && now > j.expires+expiryGrace {
@@ -194,7 +202,7 @@
 }
 
 // Load returns the number of slots in use and of waiting requests.
-func (s *Scheduler) Load() (busy, waiting int) { return len(s.jobs) - len(s.waiting), len(s.waiting) }
+func (s *Scheduler) Load() (busy, waiting int) { return len(s.jobs) - s.waiting.Len(), s.waiting.Len() }
 
 // remove deletes a job and releases its slot, if it has one.
 func (s *Scheduler) remove(j *job) {
@@ -206,8 +214,10 @@
 	s.dequeue(j)
 }
 
-// recordResult updates an upstream's latency ratio, failure rate and connect failures from a result.
-func (s *Scheduler) recordResult(now time.Duration, u *upstreamState, host string, r Result) {
+// recordResult updates the latency ratio, failure rate and connect failures of a job's upstream, and the work of its route, from a
+// result.
+func (s *Scheduler) recordResult(now time.Duration, j *job, host string, r Result) {
+	u, work := j.state, max(j.route.Work(), time.Millisecond)
 	if r.Completion != ConnectFailed && r.Completion != Abandoned {
 		delete(u.connectFailures, host)
 		u.noteUse(now, host)
@@ -219,13 +229,14 @@
 	case Answered:
 		u.restraint.answered(u.limit())
 		u.addSample(now, 0)
-		ratio := float64(r.usualTime()) / float64(max(s.avgTime, time.Millisecond))
+		s.learnWork(j, r.usualTime())
+		ratio := float64(r.usualTime()) / float64(work)
 		u.latencyRatio += latencyRatioWeight * (min(max(ratio, 0.2), maxLatencyRatio) - u.latencyRatio)
 		s.avgTime += time.Duration(avgTimeWeight * float64(r.Took-s.avgTime))
 	case Failed:
 		u.addSample(now, 1)
-		if r.usualTime() > s.avgTime {
-			u.latencyRatio += latencyRatioWeight * (min(float64(r.usualTime())/float64(s.avgTime), maxLatencyRatio) - u.latencyRatio)
+		if r.usualTime() > work {
+			u.latencyRatio += latencyRatioWeight * (min(float64(r.usualTime())/float64(work), maxLatencyRatio) - u.latencyRatio)
 		}
 	case Rejected:
 		u.addSample(now, 1)
--- a/internal/shared/events/events.go
+++ b/internal/shared/events/events.go
@@ -109,6 +109,7 @@
 	NoticeInvalid        = event(3212, zap.WarnLevel, LayerEntry, "header field of an upstream's response is invalid or exceeds its limit")
 	ColdNoticed          = event(3223, zap.InfoLevel, LayerEntry, "response shows that its upstream is cold")
 	WindowShrunk         = event(3230, zap.InfoLevel, LayerEntry, "fewer requests without a slot to an upstream")
+	WaitingEvicted       = event(3221, zap.DebugLevel, LayerEntry, "waiting request evicted from a scheduler's queue")
 	ResponseTruncated    = event(3201, zap.WarnLevel, LayerEntry, "upstream's response was truncated, caller's connection closed")
 	IdleConnsClosed      = event(3202, zap.InfoLevel, LayerEntry, "connection unresponsive, idle ones to the same upstream closed")
 )
