bound, conns, relay: a malformed response is not passed on

http.ReadResponse takes any three characters that parse as a number for a status, so that an upstream's status 000 or 999 reached the caller as a response; it also resolves contradictory lengths by itself. The status line and the lengths are now checked on the bytes of the head. The caller gets 502 as an unknown outcome, or another attempt where the request is idempotent.

--- a/internal/entry/bound/reader.go
+++ b/internal/entry/bound/reader.go
@@ -22,6 +22,8 @@
 	source  io.Reader
 	left    int64
 	failure error
+	// recorder records the head of the response that is being read, if the reader's user has started it.
+	recorder Recorder
 }
 
 // NewReader returns a reader with an allowance of zero.
@@ -30,6 +32,9 @@
 // Allow sets how many more bytes may be read.
 func (r *Reader) Allow(bytes int64) { r.left = bytes }
 
+// Recorder returns the recorder of the bytes that are read.
+func (r *Reader) Recorder() *Recorder { return &r.recorder }
+
 // Failure returns the error that ended the last read from the peer, or nil.
 func (r *Reader) Failure() error { return r.failure }
 
@@ -46,6 +51,7 @@
 	}
 	n, err = r.source.Read(b)
 	r.failure = err
+	r.recorder.Add(b[:max(n, 0)])
 	r.left -= int64(n)
 	return n, err
 }
--- a/internal/entry/conns/exchange.go
+++ b/internal/entry/conns/exchange.go
@@ -225,11 +225,19 @@
 func (x *exchange) readHeader(request *http.Request) (r *http.Response, err error) {
 	x.conn.limited.Allow(bound.MaxResponseHeader)
 	defer x.conn.limited.Allow(bound.Unlimited)
+	recorder := x.conn.limited.Recorder()
+	buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered()) // cannot fail, as it asks for no more than there is
+	recorder.Start(buffered)
+	defer recorder.Stop()
 	r, err = http.ReadResponse(x.conn.reader, request)
 	if err != nil && x.conn.limited.Exhausted() {
 		return nil, errLongHeader
 	}
-	return r, err
+	if err != nil {
+		return nil, err
+	}
+	head, _ := recorder.Head()
+	return r, bound.CheckHead(head)
 }
 
 // mismatched reports whether a response belongs to another request. One without an id is accepted only as the first on its connection.
--- a/internal/entry/relay/outcome_test.go
+++ b/internal/entry/relay/outcome_test.go
@@ -38,6 +38,13 @@
 			writeRaw(conn, r.Header.Get(HeaderAttemptID), 100, "short")
 			_ = conn.Close()
 		}, ReasonTruncated},
+		{"status 000", func(conn net.Conn, r *http.Request) {
+			_, _ = conn.Write([]byte("HTTP/1.1 000 x\r\nEbonyrill-Attempt-Id: " + r.Header.Get(HeaderAttemptID) + "\r\nContent-Length: 2\r\n\r\nok"))
+		}, ReasonBroken},
+		{"a length and chunks", func(conn net.Conn, r *http.Request) {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nEbonyrill-Attempt-Id: " + r.Header.Get(HeaderAttemptID) +
+				"\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+		}, ReasonBroken},
 		{"another request's response", func(conn net.Conn, r *http.Request) { writeRaw(conn, "other", 5, "other") }, ReasonTruncated},
 		{"a response without a length", func(conn net.Conn, r *http.Request) {
 			_, _ = conn.Write([]byte("HTTP/1.0 200 OK\r\nEbonyrill-Attempt-Id: " + r.Header.Get(HeaderAttemptID) + "\r\n\r\nhello"))
--- a/internal/entry/relay/upstream.go
+++ b/internal/entry/relay/upstream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -60,6 +61,7 @@
 	t.MaxConnsPerHost = max(1, info.Connections/2)
 	t.MaxResponseHeaderBytes = bound.MaxResponseHeader
 	t.DisableCompression = true
+	wire.WrapConns(t, func(raw net.Conn) net.Conn { return bound.NewConn(raw) })
 	return t
 }
 
--- a/internal/shared/wire/transport.go
+++ b/internal/shared/wire/transport.go
@@ -60,6 +60,19 @@
 	return t
 }
 
+// WrapConns makes a transport of NewTransport that uses plain text wrap the connections that it opens. A wrapped connection that has the
+// method ExpectResponse is told when a request with a WriteTracker gets it.
+func WrapConns(t *http.Transport, wrap func(net.Conn) net.Conn) {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if counted, ok := c.(*countedConn); ok {
+			counted.Conn = wrap(counted.Conn)
+		}
+		return c, err
+	}
+}
+
 // boundedTransport limits the length of response bodies; Connect would read a longer one to its end.
 type boundedTransport struct {
 	*http.Transport
@@ -152,6 +165,9 @@
 		t.unknown = true
 		return
 	}
+	if checked, ok := counted.Conn.(interface{ ExpectResponse() }); ok {
+		checked.ExpectResponse()
+	}
 	t.used = append(t.used, usedConn{conn: counted, before: counted.written.Load()})
 }
 
