--- a/internal/entry/relay/upstream.go
+++ b/internal/entry/relay/upstream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -63,6 +64,7 @@
 	t.MaxResponseHeaderBytes = bound.MaxResponseHeader
 	t.DisableCompression = true
 	wire.Guard(t, allow)
+	wire.WrapConns(t, func(raw net.Conn) net.Conn { return bound.NewConn(raw) })
 	return t
 }
 
