--- /dev/null
+++ b/internal/ops/daemon/crowd_test.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ebonyrill.dev/ebonyrill/internal/sample/crowd"
+	"ebonyrill.dev/ebonyrill/internal/shared/oper"
+)
+
+// Limits in the settings of the hosts that the crowds load, and the sizes of what the crowds send.
+const (
+	crowdMemory      = 96 // MiB
+	crowdDescriptors = 512
+	crowdHead        = 23600
+	crowdBody        = 4 << 20
+)
+
+// TestCrowds guards against unfinished requests of legal size that take a host over its memory or its descriptors, or that keep it from
+// answering others.
+func TestCrowds(t *testing.T) {
+	for name, target := range map[string]struct {
+		host    int
+		address func(a daemonAddresses) string
+		path    string
+		header  string
+		probe   string
+	}{
+		"callers":       {1, func(a daemonAddresses) string { return a.callers }, "/frames/7/closure", "", "/frames/7/standards"},
+		"entry peers":   {1, func(a daemonAddresses) string { return a.peers }, "/frames/7/closure", "Ebonyrill-Hop: 1\r\n", "/none"},
+		"entry admin":   {1, func(a daemonAddresses) string { return a.admin }, "/v1/announce", "", "/livez"},
+		"control admin": {0, func(a daemonAddresses) string { return a.admin }, "/v1/announce", "", "/livez"},
+		"control peers": {0, func(a daemonAddresses) string { return a.peers }, oper.Publish, "Content-Type: application/cbor\r\nEbonyrill-Wire: 1\r\n", "/none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t, 1)
+			cl.limits = fmt.Sprintf("[limits]\nmemory = %d\ndescriptors = %d\n", crowdMemory, crowdDescriptors)
+			cl.startAll()
+			address := target.address(cl.host[target.host])
+			for _, k := range crowd.Kinds(target.path, target.header, crowdHead, crowdBody) {
+				t.Run(k.Name, func(t *testing.T) { cl.assertWithstands(qt.New(t), target.host, k, address, target.probe) })
+			}
+		})
+	}
+}
+
+// assertWithstands sends a crowd to a host and checks that the host lives within its limits and answers an ordinary request.
+func (cl *cluster) assertWithstands(c *qt.C, host int, k crowd.Kind, address, probe string) {
+	c.Helper()
+	pid := cl.running[fmt.Sprintf("host%d", host)].Process.Pid
+	c.Assert(crowd.ResetPeak(pid), qt.IsNil)
+	closeAll := k.Open(address)
+	defer closeAll()
+	cl.eventually("an ordinary request is answered", func() bool {
+		client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		r, err := client.Get("http://" + address + probe)
+		if err == nil {
+			_ = r.Body.Close()
+		}
+		return err == nil && (r.StatusCode == http.StatusOK || r.StatusCode == http.StatusNotFound && probe == "/none")
+	})
+	time.Sleep(crowd.Settle)
+	peak, err := crowd.PeakMemory(pid)
+	c.Assert(err, qt.IsNil, qt.Commentf("the process has ended"))
+	descriptors, err := crowd.Descriptors(pid)
+	c.Assert(err, qt.IsNil)
+	c.Logf("peak %d MiB, %d descriptors", peak, descriptors)
+	c.Check(peak <= crowdMemory, qt.IsTrue, qt.Commentf("peak %d MiB", peak))
+	c.Check(descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", descriptors))
+}
--- a/internal/ops/daemon/process_test.go
+++ b/internal/ops/daemon/process_test.go
@@ -42,6 +42,7 @@
 	voters    int
 	security  *clusterSecurity
 	work      time.Duration
+	limits    string // further sections of the settings
 	lastError atomic.Pointer[string]
 }
 
@@ -134,7 +135,7 @@
 	if control {
 		text += "dataFolder = " + filepath.Join(cl.folder, fmt.Sprintf("data%d", i)) + "\n"
 	}
-	text += "[drain]\nnotice = 700ms\nbound = 10s\n" + cl.security.settings()
+	text += "[drain]\nnotice = 700ms\nbound = 10s\n" + cl.security.settings() + cl.limits
 	cl.c.Assert(os.WriteFile(cl.settings(i), []byte(text), 0o600), qt.IsNil)
 }
 
