--- a/internal/entry/relay/handler.go
+++ b/internal/entry/relay/handler.go
@@ -12,10 +12,12 @@
 
 	"github.com/pkg/errors"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
 	"ebonyrill.dev/ebonyrill/internal/entry/dedup"
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -85,6 +87,9 @@
 	}
 	body, complete, err := h.readBody(w, r)
 	switch {
+	case memory.Refused(err):
+		writeRefused(w)
+		return
 	case err != nil:
 		writeError(w, &errResponse{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
 		return
@@ -131,13 +136,20 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(h.callerTimeout))
-	body, complete, err = wire.ReadLimited(r.Body, h.options.MaxBody)
+	body, complete, err = bound.ReadBody(r.Body, r.ContentLength, h.options.MaxBody)
 	if err == nil && complete {
 		_ = control.SetReadDeadline(time.Time{})
 	}
 	return body, complete, err
 }
 
+// writeRefused rejects a request that gets no memory. Its connection is closed, as the rest of the request is not read.
+func writeRefused(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", memory.RetryAfter)
+	writeError(w, &errResponse{http.StatusServiceUnavailable, ReasonShed, "the host has no memory for the request"})
+}
+
 // sendWithRetries makes attempts until there is a response, the outcome forbids a retry, the retry budget is spent, or
 // the deadline has passed.
 func (h *Handler) sendWithRetries(ctx context.Context, c *call) (p *reply) {
--- a/internal/entry/relay/hop.go
+++ b/internal/entry/relay/hop.go
@@ -13,6 +13,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/retry"
 	"ebonyrill.dev/ebonyrill/internal/entry/route"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -109,6 +110,10 @@
 func (h *Handler) ServeHop(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderHop, "1")
 	body, complete, err := h.readBody(w, r)
+	if memory.Refused(err) {
+		writeRefused(w)
+		return
+	}
 	if err != nil || !complete {
 		writeError(w, &errResponse{http.StatusBadRequest, ReasonBadRequest, "the request's body did not arrive whole"})
 		return
--- a/internal/entry/serve/conn.go
+++ b/internal/entry/serve/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ebonyrill.dev/ebonyrill/internal/entry/bound"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 )
 
 // Limits of one connection.
@@ -41,6 +42,7 @@
 	reported    bool
 	lingerEnd   time.Time
 	discardDone chan struct{}
+	meter       *memory.Conn // nil if the listener does not account for memory
 }
 
 // exchange is a request and the channel for its response; request is nil if it could not be read and gets an error response.
@@ -53,6 +55,7 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, limited: bound.NewReader(raw), exchanges: make(chan *exchange, maxPipelined)}
+	c.meter, _ = raw.(*memory.Conn)
 	c.reader = bufio.NewReaderSize(c.limited, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -94,6 +97,9 @@
 			}
 			c.discardRest()
 		case bad == nil || bad.afterLast:
+			if r != nil {
+				r.ticket.Release()
+			}
 			c.discardRest()
 		case bad.response != nil:
 			if c.begin(x) {
@@ -124,7 +130,9 @@
 	}()
 	resp := c.server.options.Handler(c.ctx, x.request)
 	x.request.Body = nil // frees the body; the request itself is kept until its response is written
+	x.request.ticket.Keep(x.request.headCost)
 	if resp != nil {
+		x.request.ticket.Keep(x.request.headCost + int64(len(resp.Body)))
 		x.request.SetStage(StageResponding)
 		resp.adapt(x.request.HTTP)
 	}
@@ -153,6 +161,7 @@
 func (c *conn) discardRest() {
 	c.discardDone = make(chan struct{})
 	c.limited.Allow(bound.Unlimited)
+	c.meter.Discard()
 	c.setReadTimeout(noTimeout)
 	go func() {
 		defer close(c.discardDone)
--- a/internal/entry/serve/read.go
+++ b/internal/entry/serve/read.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"ebonyrill.dev/ebonyrill/internal/entry/bound"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
 
@@ -42,6 +43,8 @@
 	arrived := c.server.options.Clock()
 	request, err := c.readHeader()
 	switch {
+	case memory.Refused(err):
+		return nil, c.rejectForMemory()
 	case err != nil && c.limited.Exhausted():
 		return nil, c.reject(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 	case err != nil && isTimeout(err):
@@ -60,7 +63,17 @@
 		return nil, bad
 	}
 	request.RemoteAddr = c.raw.RemoteAddr().String()
-	return &Request{HTTP: request, Body: body, Arrived: arrived, CompletedAt: c.server.options.Clock()}, nil
+	r = &Request{HTTP: request, Body: body, Arrived: arrived, CompletedAt: c.server.options.Clock(), ticket: c.meter.Complete(), headCost: headCost(request)}
+	r.ticket.Keep(r.headCost + int64(len(body)))
+	return r, nil
+}
+
+// rejectForMemory rejects a request that gets no memory, or that makes too little progress while others wait for memory.
+func (c *conn) rejectForMemory() *readFailure {
+	c.meter.Discard()
+	bad := c.reject(http.StatusServiceUnavailable, "the host has no memory for the request")
+	bad.response.Header.Set("Retry-After", memory.RetryAfter)
+	return bad
 }
 
 // readHeader reads the line and header of a request. Its error is that of the connection if there is one: the parser takes a line of
@@ -93,6 +106,10 @@
 		if err == nil {
 			return c.receive()
 		}
+		if memory.Refused(err) {
+			c.closeRead()
+			return &readFailure{afterLast: true}
+		}
 		if !isTimeout(err) {
 			return &readFailure{closed: err}
 		}
@@ -161,14 +178,23 @@
 	if r.ContentLength > limits.BodyBytes {
 		return nil, c.reject(http.StatusRequestEntityTooLarge, "the body is too large")
 	}
+	factor := int64(1)
+	if r.ContentLength < 0 {
+		factor = unknownLengthFactor
+	}
+	if c.meter.StartBody(r.ContentLength, factor) != nil {
+		return nil, c.rejectForMemory()
+	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		c.exchanges <- &exchange{interim: true}
 	}
 	c.limited.Allow(limits.BodyBytes + headerSlack + readBuffer)
 	c.setReadTimeout(c.server.bodyTimeout)
-	body, err := readLimited(r, limits.BodyBytes)
+	body, within, err := bound.ReadBody(r.Body, r.ContentLength, limits.BodyBytes)
 	switch {
-	case int64(len(body)) > limits.BodyBytes:
+	case memory.Refused(err):
+		return nil, c.rejectForMemory()
+	case !within:
 		return nil, c.reject(http.StatusRequestEntityTooLarge, "the body is too large")
 	case err != nil && isTimeout(err):
 		return nil, c.rejectLate("the body did not come in time")
@@ -180,36 +206,11 @@
 	return body, nil
 }
 
-// readLimited returns the body of a request, or the part that was read before an error. Of a chunked body it reads at most
-// one byte more than the limit.
-func readLimited(r *http.Request, limit int64) (body []byte, err error) {
-	if r.ContentLength >= 0 {
-		return readSized(r.Body, r.ContentLength)
-	}
-	var buffer bytes.Buffer
-	_, err = io.Copy(&buffer, io.LimitReader(r.Body, limit+1))
-	return buffer.Bytes(), err
-}
-
-// initialBodyBuffer is the size of the buffer for a body before any of it has been read, in bytes.
-const initialBodyBuffer = 32 << 10
+// unknownLengthFactor is how many bytes are kept for each byte of a body of unknown length: its blocks are joined when it has ended.
+const unknownLengthFactor = 2
 
-// readSized reads a body with a Content-Length. The buffer grows with the bytes read, so that a caller that announces a
-// large body and sends none of it does not occupy the memory for it.
-func readSized(from io.Reader, length int64) (body []byte, err error) {
-	body = make([]byte, min(length, initialBodyBuffer))
-	n := 0
-	for {
-		m, err := io.ReadFull(from, body[n:])
-		n += m
-		if err != nil || int64(n) == length {
-			return body[:n], err
-		}
-		grown := make([]byte, min(2*int64(n), length))
-		copy(grown, body)
-		body = grown
-	}
-}
+// headCost returns the memory that a request's head takes.
+func headCost(r *http.Request) int64 { return memory.HeadSize(headerBytes(r), r.Header) }
 
 // headerBytes returns the approximate size of a request's line and header on the wire, in bytes.
 func headerBytes(r *http.Request) (n int64) {
--- a/internal/entry/serve/types.go
+++ b/internal/entry/serve/types.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 )
 
 // Request is a caller's request with its complete body. Arrived is when its first byte was read and CompletedAt when its
@@ -15,6 +17,8 @@
 	Arrived     time.Duration
 	CompletedAt time.Duration
 	progress
+	ticket   *memory.Ticket
+	headCost int64
 }
 
 // Response is what a handler returns. If Rest is not nil the body continues there after Body; Length is then the length of the
--- a/internal/entry/serve/write.go
+++ b/internal/entry/serve/write.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,6 +21,9 @@
 		default:
 			goOn = c.writeNext(<-x.response)
 		}
+		if x.request != nil {
+			x.request.ticket.Release()
+		}
 	}
 }
 
@@ -73,7 +75,7 @@
 // resetTruncated makes the close of the connection a reset if the end of the connection is what ends the body: a normal close
 // would make the truncated response look complete.
 func (c *conn) resetTruncated(resp *Response) {
-	if tcp, ok := c.raw.(*net.TCPConn); ok && resp.untilClose {
+	if tcp, ok := c.raw.(interface{ SetLinger(sec int) error }); ok && resp.untilClose {
 		_ = tcp.SetLinger(0)
 	}
 }
--- a/internal/ops/daemon/admin.go
+++ b/internal/ops/daemon/admin.go
@@ -49,6 +49,7 @@
 		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
 	}
 	counter("ebonyrill_log_dropped_total", "Log lines that found no room because nobody read them.", d.log.Dropped)
+	d.registerMemory(gauge, counter)
 	if !d.settings.Entry() {
 		return
 	}
--- a/internal/ops/daemon/daemon.go
+++ b/internal/ops/daemon/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -28,6 +27,7 @@
 	"ebonyrill.dev/ebonyrill/internal/entry/stats"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 	"ebonyrill.dev/ebonyrill/internal/shared/table"
 	"ebonyrill.dev/ebonyrill/internal/shared/wire"
 )
@@ -60,6 +60,7 @@
 	registry       *prometheus.Registry
 	client         *wire.Client
 	controlHosts   *wire.Hosts
+	gate           *memory.Gate
 	settingsFile   string
 	platform       Platform
 	broker         *broker.Broker
@@ -82,6 +83,7 @@
 	if d.log, err = events.New(settings.LogLevel(), settings.LogLayers(), settings.Name()); err != nil {
 		return nil, err
 	}
+	d.openGate()
 	if err = d.loadCertificates(); err != nil {
 		return nil, err
 	}
@@ -139,18 +141,20 @@
 // createServers creates the HTTP servers that the settings and roles require.
 func (d *Daemon) createServers() {
 	maxHeader := headerLimitFactor * d.settings.MaxHeaderBytes()
-	server := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: limitBodyTime(h, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: d.serverLog()}
+	server := func(h http.Handler, callers bool) *http.Server {
+		s := &http.Server{Handler: limitBodyTime(h, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: d.serverLog()}
+		memory.Serve(s, keeps(callers))
+		return s
 	}
-	d.peerServer, d.adminServer = server(d.peerHandler()), server(d.adminHandler())
+	d.peerServer, d.adminServer = server(d.peerHandler(), false), server(d.adminHandler(), false)
 	if d.settings.Entry() && d.broker == nil {
-		d.relayServer = server(d.countInFlight(http.HandlerFunc(d.relay.ServeHTTP)))
+		d.relayServer = server(d.countInFlight(http.HandlerFunc(d.relay.ServeHTTP)), true)
 	}
 	if d.settings.Ready() != "" {
-		d.readyServer = server(http.HandlerFunc(d.serveReadyPort))
+		d.readyServer = server(http.HandlerFunc(d.serveReadyPort), false)
 	}
 	if d.settings.Upstreams() != "" && d.group != nil && d.platform != nil {
-		d.platformServer = server(d.platform.Control(d.group, d.settings, d.log))
+		d.platformServer = server(d.platform.Control(d.group, d.settings, d.log), false)
 	}
 	if d.security != nil {
 		d.peerServer.TLSConfig = d.security.ServerConfig()
@@ -192,12 +196,13 @@
 			return err
 		}
 	}
-	for _, e := range []endpoint{{d.relayServer, d.settings.Callers(), false}, {d.peerServer, d.settings.Peers(), d.security != nil},
-		{d.adminServer, d.settings.Admin(), false}, {d.readyServer, d.settings.Ready(), false}, {d.platformServer, d.settings.Upstreams(), false}} {
+	for _, e := range []endpoint{{d.relayServer, d.settings.Callers(), false, memory.CallerUse}, {d.peerServer, d.settings.Peers(), d.security != nil, memory.PeerUse},
+		{d.adminServer, d.settings.Admin(), false, memory.OtherUse}, {d.readyServer, d.settings.Ready(), false, memory.OtherUse},
+		{d.platformServer, d.settings.Upstreams(), false, memory.PlatformUse}} {
 		if e.server == nil {
 			continue
 		}
-		if err = e.addTo(&parts); err != nil {
+		if err = e.addTo(d.gate, &parts); err != nil {
 			return err
 		}
 	}
@@ -212,16 +217,17 @@
 	return nil
 }
 
-// endpoint is an HTTP server with its address.
+// endpoint is an HTTP server with its address and what its connections are used for.
 type endpoint struct {
 	server  *http.Server
 	address string
 	secure  bool
+	use     memory.Use
 }
 
 // addTo listens at the address and adds the server to the parts.
-func (e endpoint) addTo(parts *run.Group) (err error) {
-	listener, err := net.Listen("tcp", e.address)
+func (e endpoint) addTo(g *memory.Gate, parts *run.Group) (err error) {
+	listener, err := g.Listen(e.address, e.use)
 	if err != nil {
 		return err
 	}
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +14,7 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 )
 
 // Platform adapts the daemon to the protocols of the platform that callers, upstreams and operators use. It only translates.
@@ -61,7 +61,7 @@
 
 // addBroker listens for callers and adds the broker, its server and its scheduler node to the parts.
 func (d *Daemon) addBroker(ctx context.Context, cancel func(), parts *run.Group) (err error) {
-	listener, err := net.Listen("tcp", d.settings.Callers())
+	listener, err := d.gate.Listen(d.settings.Callers(), memory.CallerUse)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/ops/daemon/memory.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"ebonyrill.dev/ebonyrill/internal/entry/relay"
+	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
+)
+
+// openGate creates the memory account that all listeners share, and limits the collector's memory.
+func (d *Daemon) openGate() {
+	limit, descriptors := memory.Machine()
+	if d.settings.Memory() > 0 {
+		limit = d.settings.Memory()
+	}
+	if d.settings.Descriptors() > 0 {
+		descriptors = d.settings.Descriptors()
+	}
+	plan := memory.NewPlan(limit, descriptors)
+	plan.Apply()
+	d.gate = memory.NewGate(plan, func(remote string, r memory.Reason) {
+		d.log.Write(events.MemoryRefused, zap.String("remote", remote), zap.String("reason", string(r)))
+	})
+}
+
+// Bytes that handlers keep for each byte of a body: forwarded bodies are kept as they are. Messages are also decoded.
+const (
+	forwardedFactor = 1
+	decodedFactor   = 4
+)
+
+// keeps returns what a handler keeps of a request's body, see [memory.Keeps]. Requests of callers are forwarded, and those that other
+// entry hosts send.
+func keeps(callers bool) memory.Keeps {
+	return func(r *http.Request) (factor int64, abort bool) {
+		switch {
+		case !callers && r.Header.Get(relay.HeaderHop) == "":
+			return decodedFactor, true
+		case r.ContentLength < 0:
+			return 2 * forwardedFactor, false // its blocks are joined when it has ended
+		}
+		return forwardedFactor, false
+	}
+}
+
+// registerMemory registers the metrics of the memory account.
+func (d *Daemon) registerMemory(gauge func(name, help string, value func() float64), counter func(name, help string, value func() int64)) {
+	gauge("ebonyrill_memory_held_bytes", "Bytes that requests in memory take.", func() float64 { return float64(d.gate.Held()) })
+	counter("ebonyrill_memory_refused_total", "Requests that waited too long for memory.", func() int64 { return d.gate.Refusals(memory.ReasonWaited) })
+	counter("ebonyrill_memory_stalled_total", "Requests without progress while others waited for memory.", func() int64 {
+		return d.gate.Refusals(memory.ReasonStalled)
+	})
+	counter("ebonyrill_connections_closed_total", "Silent connections closed for new ones.", func() int64 {
+		return d.gate.Refusals(memory.ReasonConnections)
+	})
+}
--- a/internal/shared/events/events.go
+++ b/internal/shared/events/events.go
@@ -58,6 +58,7 @@
 	ReloadRejected       = event(1010, zap.WarnLevel, LayerDaemon, "changed settings are invalid, the previous ones stay in force")
 	PeerRejected         = event(1101, zap.WarnLevel, LayerWire, "peer rejected")
 	HTTPServerError      = event(1102, zap.WarnLevel, LayerWire, "HTTP server error")
+	MemoryRefused        = event(1103, zap.WarnLevel, LayerWire, "request refused or connection closed for lack of memory or connections")
 	RoleChanged          = event(2001, zap.InfoLevel, LayerControl, "role in the control group changed")
 	Leading              = event(2002, zap.InfoLevel, LayerControl, "leading with a valid lease")
 	SnapshotSaved        = event(2003, zap.InfoLevel, LayerControl, "snapshot saved")
--- /dev/null
+++ b/internal/shared/memory/conn.go
@@ -0,0 +1,256 @@
+package memory
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Costs of what is read. A header line of a few bytes takes up to 150 bytes once it is parsed, and garbage of the same size while the
+// parser's map grows.
+const (
+	lineCost     = 192
+	headByteCost = 2
+)
+
+// HeadCost returns the memory that a part of a request's head takes once it is parsed.
+func HeadCost(part []byte) int64 {
+	return int64(len(part))*headByteCost + int64(bytes.Count(part, []byte{'\n'}))*lineCost
+}
+
+// HeadSize returns the memory that a parsed head takes, from its size on the wire and its header.
+func HeadSize(size int64, header map[string][]string) int64 {
+	lines := 0
+	for _, values := range header {
+		lines += len(values)
+	}
+	return size*headByteCost + int64(lines)*lineCost
+}
+
+// RetryAfter is the Retry-After of requests that are refused for lack of memory, in seconds: the time in which requests without progress
+// give way.
+const RetryAfter = "2"
+
+// part is what a connection reads at present.
+type part int32
+
+const (
+	inHead part = iota
+	inBody
+	inNothing // what is read now is not kept
+)
+
+// Conn is an accepted connection whose requests are read as the gate admits them. Its bytes count towards the claim of the request that
+// is being read.
+type Conn struct {
+	*net.TCPConn
+	gate     *Gate
+	slot     *slot
+	ready    chan struct{}
+	evicted  atomic.Bool
+	mutex    sync.Mutex
+	claim    *Claim
+	part     part
+	factor   int64
+	reserved int64 // bytes of the body that were admitted before they were read
+	closed   bool
+}
+
+func newConn(raw *net.TCPConn, g *Gate, s *slot) *Conn {
+	c := &Conn{TCPConn: raw, gate: g, slot: s, ready: make(chan struct{}, 1), factor: 1}
+	c.claim = g.open(c.notify)
+	return c
+}
+
+// notify wakes the reader, or interrupts it if its claim is evicted.
+func (c *Conn) notify(evicted bool) {
+	if evicted {
+		c.interrupt()
+	}
+	select {
+	case c.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Conn) interrupt() {
+	c.evicted.Store(true)
+	_ = c.TCPConn.SetReadDeadline(time.Now())
+}
+
+// evict interrupts the request that is being read, also while it waits for memory.
+func (c *Conn) evict() {
+	c.mutex.Lock()
+	claim := c.claim
+	c.mutex.Unlock()
+	c.gate.do(func(a *Account, _ time.Duration) { a.Evict(claim) })
+	c.notify(true)
+}
+
+// SetReadDeadline sets the deadline of reads, unless they were interrupted.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	if c.evicted.Load() {
+		err = c.TCPConn.SetReadDeadline(time.Now())
+	}
+	return err
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.TCPConn.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
+}
+
+// Read reads from the connection and admits what was read. It returns ErrRefused if that is not admitted, or the reading is interrupted.
+func (c *Conn) Read(b []byte) (n int, err error) {
+	n, err = c.TCPConn.Read(b)
+	if n == 0 {
+		if c.evicted.Load() && err != nil {
+			return 0, c.refuse(ReasonStalled)
+		}
+		return n, err
+	}
+	c.slot.touch()
+	if reason := c.admit(b[:n]); reason != "" {
+		return 0, c.refuse(reason)
+	}
+	return n, err
+}
+
+// refuse reports a refusal once and interrupts further reads.
+func (c *Conn) refuse(r Reason) error {
+	if c.slot.isEvicted() {
+		r = ReasonConnections
+	}
+	if c.slot.refuse() {
+		c.gate.refuse(c.RemoteAddr().String(), r)
+	}
+	return &ErrRefused{Reason: r}
+}
+
+// admit admits bytes that were read, by the part of the request to which they belong.
+func (c *Conn) admit(b []byte) (refused Reason) {
+	c.mutex.Lock()
+	claim, cost := c.claim, int64(len(b))*c.factor
+	switch c.part {
+	case inNothing:
+		cost = 0
+	case inHead:
+		cost = HeadCost(b)
+	case inBody:
+		covered := min(c.reserved, cost)
+		c.reserved -= covered
+		cost -= covered
+	}
+	c.mutex.Unlock()
+	c.gate.do(func(a *Account, now time.Duration) { a.Progress(claim, int64(len(b)), now) })
+	if cost == 0 {
+		return ""
+	}
+	return c.gate.acquire(claim, cost, c.ready)
+}
+
+// StartBody notes that the head of a request was read, and admits a body whose length is stated before any of it is read, so that bodies
+// that are admitted do not wait for each other. A negative length is unknown; such a body is admitted as it is read. The factor is how
+// many bytes are kept for each that is read.
+func (c *Conn) StartBody(length, factor int64) (err error) {
+	if c == nil {
+		return nil
+	}
+	c.mutex.Lock()
+	claim := c.claim
+	c.part, c.factor = inBody, factor
+	c.mutex.Unlock()
+	if length <= 0 {
+		return nil
+	}
+	if reason := c.gate.acquire(claim, length*factor, c.ready); reason != "" {
+		return c.refuse(reason)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reserved = length * factor
+	return nil
+}
+
+// Complete notes that a request was read completely. What it holds is kept until the returned ticket is released, while the connection
+// reads the next request.
+func (c *Conn) Complete() *Ticket {
+	if c == nil {
+		return nil
+	}
+	c.mutex.Lock()
+	claim, next := c.claim, c.gate.open(c.notify)
+	c.claim = next
+	c.part, c.factor, c.reserved = inHead, 1, 0
+	closed := c.closed
+	c.mutex.Unlock()
+	c.gate.do(func(a *Account, _ time.Duration) {
+		a.Complete(claim)
+		if closed {
+			a.Release(next)
+		}
+	})
+	c.slot.begin()
+	return &Ticket{conn: c, claim: claim}
+}
+
+// Discard notes that what was read of the present request, and what is read from now on until Head, is not kept.
+func (c *Conn) Discard() {
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	claim := c.claim
+	c.part = inNothing
+	c.mutex.Unlock()
+	c.gate.do(func(a *Account, _ time.Duration) { a.Resize(claim, 0) })
+}
+
+// Head notes that the head of a request is read next.
+func (c *Conn) Head() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.part = inHead
+}
+
+// Close closes the connection and releases what the request that was being read holds.
+func (c *Conn) Close() error {
+	err := c.TCPConn.Close()
+	c.mutex.Lock()
+	claim := c.claim
+	c.closed = true
+	c.mutex.Unlock()
+	c.gate.do(func(a *Account, _ time.Duration) { a.Release(claim) })
+	c.slot.release()
+	return err
+}
+
+// Ticket is the memory of a request that was read completely, and of its response.
+type Ticket struct {
+	conn     *Conn
+	claim    *Claim
+	released atomic.Bool
+}
+
+// Keep sets the bytes that are kept. It does not wait, as they are in memory already.
+func (t *Ticket) Keep(bytes int64) {
+	if t == nil || t.released.Load() {
+		return
+	}
+	t.conn.gate.do(func(a *Account, _ time.Duration) { a.Resize(t.claim, bytes) })
+}
+
+// Release gives the memory back; only the first call has an effect.
+func (t *Ticket) Release() {
+	if t == nil || !t.released.CompareAndSwap(false, true) {
+		return
+	}
+	t.conn.gate.do(func(a *Account, _ time.Duration) { a.Release(t.claim) })
+	t.conn.slot.end()
+}
--- /dev/null
+++ b/internal/shared/memory/gate.go
@@ -0,0 +1,123 @@
+package memory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Reason says why a request was refused or a connection was closed.
+type Reason string
+
+// Reasons. ReasonWaited: the request waited for too long for memory. ReasonStalled: it made too little progress while others waited.
+// ReasonConnections: the connection had no request in progress and others waited to be accepted.
+const (
+	ReasonWaited      Reason = "waited"
+	ReasonStalled     Reason = "stalled"
+	ReasonConnections Reason = "connections"
+)
+
+// ErrRefused is returned by reads of a request that gets no memory. It counts as a time-out, so that HTTP servers close the connection.
+type ErrRefused struct {
+	Reason Reason
+}
+
+// Error returns the message.
+func (e *ErrRefused) Error() string { return "no memory for the request: " + string(e.Reason) }
+
+// Timeout reports true.
+func (e *ErrRefused) Timeout() bool { return true }
+
+// Temporary reports false.
+func (e *ErrRefused) Temporary() bool { return false }
+
+// stepPeriod is how often a waiting request checks whether others stall.
+const stepPeriod = 100 * time.Millisecond
+
+// Gate applies the account to requests that are read at the same time; it is safe for concurrent use.
+type Gate struct {
+	mutex     sync.Mutex
+	account   *Account
+	plan      Plan
+	start     time.Time
+	refusals  map[Reason]*atomic.Int64
+	onRefused func(remote string, r Reason)
+}
+
+// NewGate returns a gate for a plan. OnRefused is called for each request that is refused and each connection that is closed.
+func NewGate(p Plan, onRefused func(remote string, r Reason)) *Gate {
+	return &Gate{account: NewAccount(p.Account()), plan: p, start: time.Now(), onRefused: onRefused,
+		refusals: map[Reason]*atomic.Int64{ReasonWaited: {}, ReasonStalled: {}, ReasonConnections: {}}}
+}
+
+// Held returns the bytes that requests in memory take.
+func (g *Gate) Held() int64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.account.Held()
+}
+
+// Refusals returns how many requests were refused, or connections closed, for a reason.
+func (g *Gate) Refusals(r Reason) int64 { return g.refusals[r].Load() }
+
+func (g *Gate) refuse(remote string, r Reason) {
+	g.refusals[r].Add(1)
+	g.onRefused(remote, r)
+}
+
+func (g *Gate) now() time.Duration { return time.Since(g.start) }
+
+// open returns a claim; notify is called with whether the claim is evicted, or else no longer waits. It must not block.
+func (g *Gate) open(notify func(evicted bool)) *Claim {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	c := g.account.Open(g.now())
+	c.notify = notify
+	return c
+}
+
+// acquire adds bytes to a claim, which may wait for them, and returns the reason if it does not get them.
+func (g *Gate) acquire(c *Claim, bytes int64, ready <-chan struct{}) (refused Reason) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.account.Ask(c, bytes, g.now()) {
+		return ""
+	}
+	for !c.evicted && !c.refused && c.wants > 0 {
+		g.mutex.Unlock()
+		select {
+		case <-ready:
+		case <-time.After(stepPeriod):
+		}
+		g.mutex.Lock()
+		g.step()
+	}
+	switch {
+	case c.evicted:
+		return ReasonStalled
+	case c.refused:
+		return ReasonWaited
+	}
+	return ""
+}
+
+// step carries out what the account decides; the mutex must be held.
+func (g *Gate) step() {
+	granted, refused, evicted := g.account.Step(g.now())
+	for _, c := range append(granted, refused...) {
+		c.notify(false)
+	}
+	for _, c := range evicted {
+		c.notify(true)
+	}
+}
+
+// do applies a change to the account, and grants what fits after it.
+func (g *Gate) do(change func(a *Account, now time.Duration)) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	change(g.account, g.now())
+	if len(g.account.waiting) > 0 {
+		g.step()
+	}
+}
--- /dev/null
+++ b/internal/shared/memory/listen.go
@@ -0,0 +1,148 @@
+package memory
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Times of a listener whose connections are all in use.
+const (
+	closePeriod = 10 * time.Millisecond // between checks for connections that give way
+	maxClosing  = 32                    // connections that are being closed at the same time
+)
+
+// Use is what a listener's connections are used for: its share of the connections that the process may accept, and how long a connection
+// without a complete request may be silent before it gives way to a new one when all are in use. Requests to the listeners of OtherUse are
+// sent at once by programs nearby.
+type Use struct {
+	share   float64
+	silence time.Duration
+}
+
+// Uses of listeners.
+var (
+	CallerUse   = Use{share: 0.4, silence: time.Second}
+	PeerUse     = Use{share: 0.2, silence: time.Second}
+	PlatformUse = Use{share: 0.2, silence: time.Second}
+	OtherUse    = Use{share: 0.1, silence: 300 * time.Millisecond}
+)
+
+// Listener accepts at most a number of connections. If all are in use, connections without a request in progress, or whose request makes
+// no progress, are closed, those that have been silent for longest first; meanwhile new ones wait in the kernel's queue.
+type Listener struct {
+	*net.TCPListener
+	gate  *Gate
+	use   Use
+	limit int
+	mutex sync.Mutex
+	open  map[*slot]struct{}
+}
+
+// Listen listens at an address.
+func (g *Gate) Listen(address string, use Use) (l *Listener, err error) {
+	raw, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{TCPListener: raw.(*net.TCPListener), gate: g, use: use, limit: g.plan.Connections(use.share), open: map[*slot]struct{}{}}, nil
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (c net.Conn, err error) {
+	raw, err := l.TCPListener.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	for {
+		room, silent := l.findRoom(time.Now())
+		if room {
+			break
+		}
+		for _, c := range silent {
+			c.evict()
+		}
+		time.Sleep(closePeriod)
+	}
+	s := &slot{listener: l, touched: time.Now()}
+	s.conn = newConn(raw, l.gate, s)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.open[s] = struct{}{}
+	return s.conn, nil
+}
+
+// findRoom reports whether one more connection may be opened; if not, it returns those that give way.
+func (l *Listener) findRoom(now time.Time) (room bool, silent []*Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(l.open) < l.limit {
+		return true, nil
+	}
+	var found []*slot
+	closing := 0
+	for s := range l.open {
+		switch {
+		case s.evicted:
+			closing++
+		case s.busy == 0 && now.Sub(s.touched) >= l.use.silence:
+			found = append(found, s)
+		}
+	}
+	slices.SortFunc(found, func(x, y *slot) int { return x.touched.Compare(y.touched) })
+	for _, s := range found[:min(len(found), max(maxClosing-closing, 0))] {
+		s.evicted = true
+		silent = append(silent, s.conn)
+	}
+	return false, silent
+}
+
+// slot is a connection's place in its listener; the listener's mutex guards it. busy is the number of its requests that were read
+// completely and are not finished.
+type slot struct {
+	listener *Listener
+	conn     *Conn
+	touched  time.Time
+	busy     int
+	evicted  bool
+	refused  bool
+}
+
+func (s *slot) touch() {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	s.touched = time.Now()
+}
+
+func (s *slot) begin() { s.change(1) }
+
+func (s *slot) end() { s.change(-1) }
+
+func (s *slot) change(requests int) {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	s.busy += requests
+	s.touched = time.Now()
+}
+
+func (s *slot) isEvicted() bool {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	return s.evicted
+}
+
+// refuse notes that the connection was refused, and reports whether it was for the first time.
+func (s *slot) refuse() (first bool) {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	first = !s.refused
+	s.refused = true
+	return first
+}
+
+func (s *slot) release() {
+	s.listener.mutex.Lock()
+	defer s.listener.mutex.Unlock()
+	delete(s.listener.open, s)
+}
--- /dev/null
+++ b/internal/shared/memory/plan.go
@@ -0,0 +1,68 @@
+package memory
+
+import (
+	"runtime/debug"
+
+	"golang.org/x/sys/unix"
+)
+
+// Sizes of parts of the process. A process without load has 30 to 45 MiB resident, of which 20 to 25 are the program's text and the
+// runtime's own memory, which the collector's limit does not cover.
+const (
+	baseBytes    = 44 << 20 // process without load
+	outsideBytes = 24 << 20 // resident beyond what the collector's limit covers
+	connBytes    = 24 << 10 // buffers, goroutines and stacks of one connection
+)
+
+// Shares of the memory beyond baseBytes, and of the descriptors; the rest is for garbage and for connections to upstreams and peers.
+const (
+	accountShare = 0.45
+	connShare    = 0.25
+)
+
+// descriptorShare is the share of the descriptors for accepted connections.
+const descriptorShare = 0.75
+
+// Plan is how the memory and the descriptors of a process are divided.
+type Plan struct {
+	collector   int64
+	account     int64
+	connections int
+}
+
+// NewPlan divides the memory in bytes and the descriptors that the process may use.
+func NewPlan(memory int64, descriptors int) Plan {
+	free := max(memory-baseBytes, memory/8)
+	byMemory := connShare * float64(free) / connBytes
+	return Plan{collector: max(memory-outsideBytes, memory/2), account: int64(accountShare * float64(free)),
+		connections: int(min(byMemory, descriptorShare*float64(descriptors)))}
+}
+
+// Account returns the bytes that the requests in memory may take.
+func (p Plan) Account() int64 { return p.account }
+
+// Connections returns how many connections a listener with the given share may have open.
+func (p Plan) Connections(share float64) int {
+	return max(int(share*float64(p.connections)), minConnections)
+}
+
+// minConnections is how many connections each listener may have at least.
+const minConnections = 8
+
+// Apply limits the collector's memory.
+func (p Plan) Apply() { debug.SetMemoryLimit(p.collector) }
+
+// Machine returns the memory and descriptors of a process whose settings do not state them: half of the machine's memory, and the limit
+// of the process.
+func Machine() (memory int64, descriptors int) {
+	memory, descriptors = 1<<30, 1024
+	var info unix.Sysinfo_t
+	if unix.Sysinfo(&info) == nil {
+		memory = int64(uint64(info.Totalram) * uint64(info.Unit) / 2)
+	}
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
+		descriptors = int(min(limit.Cur, 1<<24))
+	}
+	return memory, descriptors
+}
