--- a/internal/shared/wire/wire.go
+++ b/internal/shared/wire/wire.go
@@ -1,9 +1,7 @@
 package wire
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -168,11 +166,3 @@
 	}
 	return s
 }
-
-// ReadLimited reads a body. It reports whether the body was complete within the limit in bytes; of a longer one it returns
-// the first limit+1 bytes.
-func ReadLimited(r io.Reader, limit int64) (data []byte, complete bool, err error) {
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(r, limit+1))
-	return b.Bytes(), n <= limit, err
-}
