--- a/internal/ops/daemon/crowd_test.go
+++ b/internal/ops/daemon/crowd_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +56,7 @@
 	pid := cl.running[fmt.Sprintf("host%d", host)].Process.Pid
 	c.Assert(crowd.ResetPeak(pid), qt.IsNil)
 	closeAll := k.Open(address)
+	defer cl.assertBalance(host)
 	defer closeAll()
 	cl.eventually("an ordinary request is answered", func() bool {
 		client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -72,3 +75,24 @@
 	c.Check(peak <= crowdMemory, qt.IsTrue, qt.Commentf("peak %d MiB", peak))
 	c.Check(descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", descriptors))
 }
+
+// maxBalance is the most that the requests of a host without load hold: those of other hosts that wait for news, and that of the test.
+const maxBalance = 64 << 10 // bytes
+
+// assertBalance guards against memory that is admitted and never released: the balance of a host without load must be near zero.
+func (cl *cluster) assertBalance(host int) {
+	cl.c.Helper()
+	cl.eventually("the balance returns to zero", func() bool {
+		client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		r, err := client.Get("http://" + cl.host[host].admin + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		text, err := io.ReadAll(r.Body)
+		_, value, found := strings.Cut(string(text), "\nebonyrill_memory_held_bytes ")
+		var held float64
+		_, _ = fmt.Sscan(value, &held)
+		return err == nil && found && held <= maxBalance
+	})
+}
