--- a/internal/entry/link/link.go
+++ b/internal/entry/link/link.go
@@ -76,13 +76,15 @@
 	return l.sent.Utilization(now), l.received.Utilization(now), l.queue.Waiting()
 }
 
-func (l *Link) addSent(bytes int) {
+// AddSent records bytes that were handed to the link.
+func (l *Link) AddSent(bytes int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.sent.Add(l.clock(), bytes)
 }
 
-func (l *Link) addReceived(bytes int) {
+// AddReceived records bytes that were received.
+func (l *Link) AddReceived(bytes int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.received.Add(l.clock(), bytes)
--- a/internal/entry/serve/write.go
+++ b/internal/entry/serve/write.go
@@ -21,6 +21,9 @@
 		default:
 			goOn = c.writeNext(<-x.response)
 		}
+		if x.request != nil {
+			x.request.ticket.Release()
+		}
 	}
 }
 
--- a/internal/ops/daemon/items.go
+++ b/internal/ops/daemon/items.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -17,6 +16,7 @@
 	"ebonyrill.dev/ebonyrill/internal/shared/clock"
 	"ebonyrill.dev/ebonyrill/internal/shared/conf"
 	"ebonyrill.dev/ebonyrill/internal/shared/events"
+	"ebonyrill.dev/ebonyrill/internal/shared/memory"
 )
 
 // Platform adapts the daemon to the protocols of the platform that callers, upstreams and operators use. It only translates.
@@ -54,7 +54,9 @@
 
 // openBroker creates the parts that route callers' requests by configuration items.
 func (d *Daemon) openBroker() {
-	d.link = link.New(d.settings.Link(), clock.Boot)
+	if d.link = link.New(d.settings.Link(), clock.Boot); d.link != nil {
+		d.gate.CountTraffic(d.link)
+	}
 	d.broker = broker.New(broker.Options{Host: d.settings.Name(), DataCentre: d.settings.DataCentre(), Headers: d.platform.HeaderNames(),
 		Address: d.settings.Peers(), Table: d.table, Link: d.link, LeaveTime: d.settings.LeaveTime(), Windows: d.settings.Windows(), Observer: d.stats,
 		Cold: cold.NewAllowance(d.settings.ColdOverrun(), d.settings.ColdSlack()), ControlReachable: d.agent.ControlReachable,
@@ -66,11 +68,11 @@
 
 // addBroker listens for callers and adds the broker, its server and its scheduler node to the parts.
 func (d *Daemon) addBroker(ctx context.Context, cancel func(), parts *run.Group) (err error) {
-	listener, err := net.Listen("tcp", d.settings.Callers())
+	listener, err := d.gate.Listen(d.settings.Callers(), memory.CallerUse)
 	if err != nil {
 		return err
 	}
-	addServer(parts, func() error { return d.brokerServer.Serve(d.link.WrapListener(listener)) }, d.brokerServer.Close)
+	addServer(parts, func() error { return d.brokerServer.Serve(listener) }, d.brokerServer.Close)
 	parts.Add(func() error { return d.broker.Run(ctx) }, func(error) { cancel() })
 	if !d.useDatagrams() {
 		return nil
