sched: drop an expired report although a newer one arrives first

A report that arrived after the first one had expired, and before the next check, moved the time of that check. TestReportsExpireInTurn fails without the change.

--- a/internal/entry/sched/report.go
+++ b/internal/entry/sched/report.go
@@ -49,7 +49,7 @@
 		return
 	}
 	u.report = report{slowness: r.slowness(), elsewhere: max(r.Running+r.Waiting-u.busy-1, 0), until: now + reportTTL}
-	if s.reportsUntil <= now {
+	if s.reportsUntil == 0 {
 		s.reportsUntil = u.report.until
 	}
 }
--- a/internal/entry/sched/report_test.go
+++ b/internal/entry/sched/report_test.go
@@ -38,6 +38,17 @@
 	}
 }
 
+// TestReportsExpireInTurn guards against an expired report that is kept because a newer one of another upstream arrives before the check.
+func TestReportsExpireInTurn(t *testing.T) {
+	s := newScheduler(upstreamsOf(1, 1))
+	s.Submit(0, "h", slotRequest(1))
+	s.Submit(0, "h", slotRequest(2))
+	first := s.jobs[Key{Host: "h", ID: 1}].state
+	s.Finish(0, "h", Result{ID: 1, Completion: Answered, Took: s.avgTime, Slowness: 300})
+	s.Finish(reportTTL, "h", Result{ID: 2, Completion: Answered, Took: s.avgTime, Slowness: 300})
+	qt.Check(t, first.report, qt.Equals, report{})
+}
+
 // slowPhase is how long an upstream is slow at a time.
 const slowPhase = 400 * time.Millisecond
 
