link: start waiting downloads when the ones before them stall

Downloads started only when another one began, received bytes or ended. If those that were counted stalled, one that waited behind them was not started once their time was over, and was rejected when its caller's time ended although the link was idle. TestDownloadStartsAfterStalledOnes fails without the change.

--- a/internal/entry/link/link.go
+++ b/internal/entry/link/link.go
@@ -125,15 +125,39 @@
 	l.waiting[d] = started
 	l.startDownloads(now)
 	l.mutex.Unlock()
-	select {
-	case <-started:
-	case <-waiting.Done():
-		l.finish(d)
-		return nil, waiting.Err()
+	if err = l.await(waiting, d, started); err != nil {
+		return nil, err
 	}
 	return &Transfer{link: l, route: route, download: d, ctx: ctx, began: l.clock()}, nil
 }
 
+// await waits until a download starts. If the context ends first, it removes the download and returns the context's error.
+func (l *Link) await(ctx context.Context, d *Download, started <-chan struct{}) error {
+	timer := time.NewTimer(l.recheck())
+	defer timer.Stop()
+	for {
+		select {
+		case <-started:
+			return nil
+		case <-ctx.Done():
+			l.finish(d)
+			return ctx.Err()
+		case <-timer.C:
+			timer.Reset(l.recheck())
+		}
+	}
+}
+
+// recheck starts the downloads for which there is room, and returns when to call it again. Downloads that stall receive no bytes, which
+// otherwise start the next ones.
+func (l *Link) recheck() (wait time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.clock()
+	l.startDownloads(now)
+	return max(l.queue.NextRelease(now), time.Millisecond)
+}
+
 // startDownloads starts the downloads for which there is room; the mutex must be held.
 func (l *Link) startDownloads(now time.Duration) {
 	for _, d := range l.queue.Start(now, l.rate(now)) {
--- a/internal/entry/link/link_test.go
+++ b/internal/entry/link/link_test.go
@@ -168,3 +168,17 @@
 	c.Check(l.queue.Waiting(), qt.Equals, 0)
 	c.Check(l.queue.outstanding, qt.Equals, 0.0)
 }
+
+// TestDownloadStartsAfterStalledOnes guards against downloads that wait until their callers leave, because the ones before them stall and
+// nothing else happens on the link.
+func TestDownloadStartsAfterStalledOnes(t *testing.T) {
+	c := qt.New(t)
+	l := New(testRate/8, clock.Boot)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 2 {
+		v, err := l.Begin(ctx, ctx, "r", 0, clock.Boot()+time.Minute)
+		c.Assert(err, qt.IsNil)
+		defer v.Finish(false)
+	}
+}
--- a/internal/entry/link/queue.go
+++ b/internal/entry/link/queue.go
@@ -81,6 +81,17 @@
 	return started
 }
 
+// NextRelease returns the time until the next started download no longer counts, as of now, or the window if there is none.
+func (q *Queue) NextRelease(now time.Duration) (wait time.Duration) {
+	wait = window
+	for i, d := range q.counted {
+		if left := d.countedUntil + 1 - now; i == 0 || left < wait {
+			wait = left
+		}
+	}
+	return wait
+}
+
 // Received records that bytes of a started download were received.
 func (q *Queue) Received(d *Download, bytes int) {
 	done := min(float64(bytes), d.left)
