broker: admit requests of routes without an objective to a busy link

The admission compared the wait on the link with a share of the objective, which is zero for such routes. On a host with a stated link rate their requests were rejected whenever any byte waited. The time that the request has counts instead. TestRouteWithoutObjectiveUsesTheLink fails without the change.

--- a/internal/entry/broker/link.go
+++ b/internal/entry/broker/link.go
@@ -14,7 +14,7 @@
 // awaitLink waits until the host's link has room for the request. It returns a response if the request is rejected instead.
 func (j *job) awaitLink(ctx context.Context) (rejection *serve.Response) {
 	b := j.broker
-	objective := j.match.Route.Objective
+	objective := j.linkObjective()
 	var err error
 	if j.match.Route.Large {
 		began := b.options.Clock()
@@ -35,6 +35,14 @@
 	return nil
 }
 
+// linkObjective returns the time within which the request should be answered: all that it has, if its route states no objective.
+func (j *job) linkObjective() time.Duration {
+	if j.match.Route.Objective > 0 {
+		return j.match.Route.Objective
+	}
+	return j.expires - j.arrived
+}
+
 // controlSilence returns the time since control last responded to this host, zero if that is unknown.
 func (b *Broker) controlSilence() time.Duration {
 	if b.options.ControlSilence == nil {
