broker: release the link when the handler panics

A panic is answered with 502 by the callers' server, but the download still counted on the link until twice its expected time was over, and others were rejected meanwhile. TestPanicReleasesTheLink fails without the change.

--- a/internal/entry/broker/broker.go
+++ b/internal/entry/broker/broker.go
@@ -102,7 +102,7 @@
 	b.pool.Sweep(func(key string) bool { return live[key] })
 }
 
-// job is one request while it is handled. excluded are the upstreams that must not be used again, attempts counts towards the route's
+// job is one request while it is handled. returned is set once its response is, excluded are the upstreams that must not be used again, attempts counts towards the route's
 // limit, sends is how often the request was sent, including to upstreams that responded that it was misdirected, which attempts does not
 // count, and retryTaken is set while a retry has been taken from the budget and not sent yet.
 type job struct {
@@ -132,6 +132,7 @@
 	waited         time.Duration
 	lastResponse   *conns.Response
 	transfer       *link.Transfer
+	returned       bool
 	reason         Reason
 	coldRefusals   int
 }
@@ -163,7 +164,10 @@
 		cancel()
 		return rejection
 	}
-	return j.endTransfer(cancelWhenDone(j.serve(ctx), cancel))
+	defer j.endOnPanic(cancel)
+	resp := j.endTransfer(cancelWhenDone(j.serve(ctx), cancel))
+	j.returned = true
+	return resp
 }
 
 // cancelWhenDone ends a request's context at once or, if the response is streamed, when the rest of it has been written.
--- a/internal/entry/broker/link.go
+++ b/internal/entry/broker/link.go
@@ -70,6 +70,14 @@
 	return resp
 }
 
+// endOnPanic ends a request whose handler panics, which returns no response that would end it.
+func (j *job) endOnPanic(cancel context.CancelFunc) {
+	if !j.returned {
+		cancel()
+		j.transfer.Finish(false)
+	}
+}
+
 // minFailureStatus is the lowest status of a response that is not a success.
 const minFailureStatus = 300
 
--- a/internal/entry/broker/link_test.go
+++ b/internal/entry/broker/link_test.go
@@ -29,3 +29,15 @@
 	f := newLinkFixture(t, respondOK, func(r *items.Route) { r.Objective = 0 })
 	qt.Check(t, f.handle("/look/x").Status, qt.Equals, http.StatusOK)
 }
+
+// TestPanicReleasesTheLink guards against a download that counts on the link although its request has ended with a panic. The second one
+// can finish in its time only if nothing is ahead of it.
+func TestPanicReleasesTheLink(t *testing.T) {
+	f := newLinkFixture(t, respondOK, func(r *items.Route) { r.Large = true })
+	inTime := func(r *http.Request) { r.Header.Set("Left", "1500") }
+	observer := f.broker.options.Observer
+	f.broker.options.Observer = nil
+	qt.Check(t, func() { f.handle("/look/x", inTime) }, qt.PanicMatches, ".*nil pointer.*")
+	f.broker.options.Observer = observer
+	qt.Check(t, f.handle("/look/x", inTime).Status, qt.Equals, http.StatusOK)
+}
