--- a/internal/entry/broker/windows.go
+++ b/internal/entry/broker/windows.go
@@ -116,7 +116,8 @@
 	}
 	j.unscheduled = nil
 	if shrunk, size := b.windows.release(b.options.Clock(), b.upstreams.typicalTime(j.service), r, outcomeOf(c)); shrunk {
-		b.options.Log.Write(events.WindowShrunk, zap.String("id", j.id), zap.String("service", j.service), zap.String("upstream", r.upstream.Name), zap.Int("size", size))
+		b.options.Log.Write(events.WindowShrunk, zap.String("id", j.id), zap.String("service", j.service),
+			zap.String("upstream", r.upstream.Name), zap.Int("size", size))
 	}
 }
 
--- a/internal/entry/limit/window.go
+++ b/internal/entry/limit/window.go
@@ -6,8 +6,10 @@
 
 // Parameters of a window.
 const (
-	decrease       = 0.5              // factor on the size after a refusal
-	increase       = 0.125            // part of its share that a host with less than one request at a time regains by a success; at its share, a fifth of the requests to a full upstream are then refused
+	decrease = 0.5 // factor on the size after a refusal
+	// increase is the part of its share that a host with less than one request at a time regains by a success. At its share, a fifth of
+	// the requests to a full upstream are then refused.
+	increase       = 0.125
 	maxPause       = 5 * time.Second  // longest pause between two requests
 	memory         = 30 * time.Second // time without a refusal after which one request at a time is allowed again
 	pauseSpread    = 0.5              // share of a pause that is random, so that hosts do not all return at once
