sched: events visit no requests that can't get a permit

A cold upstream without a permit counted as one with a free slot, so that each event visited all requests that wait for it. Each tick summed up all upstreams again for every waiting request while only cold ones could run it. TestRequestsForAPermitAreNotVisited fails without the change of freeTargets; the saving in unservable has only the benchmark.

--- a/internal/entry/sched/cold_test.go
+++ b/internal/entry/sched/cold_test.go
@@ -150,3 +150,11 @@
 	c.Assert(replyFor(s.Submit(now, "h", slotRequest(5)), 5).Decision, qt.Equals, Queued)
 	c.Assert(replyFor(s.Finish(now, "h", Result{ID: 4, Completion: Abandoned, Unsent: true}), 5).Decision, qt.Equals, Assigned)
 }
+
+// TestRequestsForAPermitAreNotVisited guards against events that visit all requests which wait for a cold upstream, while there is no
+// permit for it.
+func TestRequestsForAPermitAreNotVisited(t *testing.T) {
+	s, now := newColdScheduler()
+	qt.Check(t, s.freeTargets(s.newCosts(0)), qt.HasLen, 0)
+	qt.Check(t, s.freeTargets(s.newCosts(now)), qt.DeepEquals, []uint32{0, 1})
+}
--- a/internal/entry/sched/queue.go
+++ b/internal/entry/sched/queue.go
@@ -42,16 +42,17 @@
 
 func (s *Scheduler) dequeue(j *job) { s.waiting.Remove(j.request.Upstream, j.route, j) }
 
-// freeTargets returns the upstreams with a free slot that requests may name, and zero if a request that names none may get a slot.
+// freeTargets returns the upstreams with a free slot that requests may name, and zero if a request that names none may get a slot. A cold
+// upstream without a permit has no free slot: otherwise each event would visit all requests that wait for it.
 func (s *Scheduler) freeTargets(c *costs) (list []uint32) {
 	for _, u := range c.reachable {
-		if u.busy < u.limit() && !u.upstream.Draining {
+		if u.busy < u.limit() && !u.upstream.Draining && u.cold.grantable(c.now) {
 			list = append(list, 0)
 			break
 		}
 	}
 	for _, number := range s.numbers {
-		if u := s.upstreams[number]; u.busy < u.limit() {
+		if u := s.upstreams[number]; u.busy < u.limit() && u.cold.grantable(c.now) {
 			list = append(list, number)
 		}
 	}
@@ -111,7 +112,7 @@
 		if target == 0 {
 			walked = targets
 		}
-		var c capacity
+		var c *capacity
 		ahead, work, shares := 0, time.Duration(0), map[*order.Route]float64{}
 		s.waiting.Walk(now, walked, true, func(j *job) bool {
 			if j.request.Upstream == target {
@@ -119,11 +120,12 @@
 					shares[j.route] = j.route.Share(now, s.totalSlots())
 				}
 				own := c
-				if c.slots == 0 || len(j.request.Exclude) > 0 {
-					own = s.capacityFor(now, j)
+				if own == nil || len(j.request.Exclude) > 0 {
+					fresh := s.capacityFor(now, j)
+					own = &fresh
 				}
 				if len(j.request.Exclude) == 0 {
-					c = own
+					c = own // the same for all requests without exclusions
 				}
 				wait := own.wait(s.avgTime, ahead, work, shares[j.route])
 				if now+s.serviceTime(j)/2 > j.expires || now+wait > j.expires {
