order: routes without recent requests make room for others

A scheduler told the first 64 routes apart for as long as it ran, so that after some configurations with other routes all new ones were ordered by due time alone. Routes without recent requests are forgotten when there is no place. TestIdleRoutesMakeRoom fails without the change.

--- a/internal/entry/order/book.go
+++ b/internal/entry/order/book.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -13,6 +14,7 @@
 	maxWorkFactor = 8.0             // limit on a route's work relative to the service's average, up and down
 	minArrivals   = 4               // recent requests before a route can count as short of its share
 	maxRoutes     = 64              // routes that are told apart, as identifiers come from the network
+	idleCount     = 0.001           // a route without a request for seven time constants is below this count
 )
 
 // Route is what is known about the requests of one route. The counts decay over time.
@@ -43,6 +45,9 @@
 // Route returns the route with an identifier. Requests without one, and those of too many routes, share the route zero, which is
 // ordered by due time alone.
 func (b *Book) Route(id uint32, priority int) *Route {
+	if b.routes[id] == nil && len(b.routes) >= maxRoutes {
+		b.forgetIdle()
+	}
 	if b.routes[id] == nil && len(b.routes) >= maxRoutes {
 		id = 0
 	}
@@ -55,6 +60,12 @@
 	return r
 }
 
+// forgetIdle removes the routes without recent requests, as those that a newer configuration does not have. They would otherwise take the
+// places of its routes for as long as the scheduler runs.
+func (b *Book) forgetIdle() {
+	maps.DeleteFunc(b.routes, func(_ uint32, r *Route) bool { return r.arrived < idleCount && r.served < idleCount })
+}
+
 // Ordered reports whether the requests of the route are ordered by value.
 func (r *Route) Ordered() bool { return !r.mixed }
 
--- a/internal/entry/order/order_test.go
+++ b/internal/entry/order/order_test.go
@@ -40,6 +40,22 @@
 	qt.Check(t, r.Work() > 900*time.Millisecond && r.Work() < 1100*time.Millisecond, qt.IsTrue)
 }
 
+// TestIdleRoutesMakeRoom guards against routes of old configurations that take the places of new ones for as long as the scheduler runs,
+// and against forgetting routes with requests.
+func TestIdleRoutesMakeRoom(t *testing.T) {
+	usual := 200 * time.Millisecond
+	b := NewBook(&usual, Default())
+	for id := range uint32(maxRoutes) {
+		b.Route(id+1, 0).Arrive(0)
+	}
+	qt.Check(t, b.Route(maxRoutes+1, 0).Ordered(), qt.IsFalse)
+	busy := b.Route(1, 0)
+	busy.Arrive(time.Minute)
+	busy.Score(time.Minute)
+	qt.Check(t, b.Route(maxRoutes+1, 0).Ordered(), qt.IsTrue)
+	qt.Check(t, b.Route(1, 0), qt.Equals, busy)
+}
+
 type waiting struct {
 	id     int
 	target uint32
