order, sched: the cost of a decision is not quadratic in the routes

Each score summed up the counts of all routes, and each tick computed the share of each route again for each upstream that requests wait for. The book keeps the sum of the counts. TestTickScoresRoutesOnce fails without the change of unservable; TestTotalIsTheSumOfRoutes guards the sum.

--- a/internal/entry/order/book.go
+++ b/internal/entry/order/book.go
@@ -17,22 +17,28 @@
 	idleCount     = 0.001           // a route without a request for seven time constants is below this count
 )
 
-// Route is what is known about the requests of one route. The counts decay over time.
+// counts are the recent requests that arrived or got a slot, and their slot time in seconds. They decay over time.
+type counts struct {
+	arrived float64
+	served  float64
+	used    float64
+	at      time.Duration
+}
+
+// Route is what is known about the requests of one route.
 type Route struct {
+	counts
 	book     *Book
 	mixed    bool
 	priority int
 	work     time.Duration
 	samples  int
-	arrived  float64
-	served   float64
-	used     float64
-	at       time.Duration
 }
 
-// Book holds what is known about the routes of one scheduler.
+// Book holds what is known about the routes of one scheduler. total is the sum of their counts, so that a score doesn't visit all routes.
 type Book struct {
 	routes map[uint32]*Route
+	total  counts
 	usual  *time.Duration
 	rules  Rules
 }
@@ -63,7 +69,14 @@
 // forgetIdle removes the routes without recent requests, as those that a newer configuration does not have. They would otherwise take the
 // places of its routes for as long as the scheduler runs.
 func (b *Book) forgetIdle() {
-	maps.DeleteFunc(b.routes, func(_ uint32, r *Route) bool { return r.arrived < idleCount && r.served < idleCount })
+	maps.DeleteFunc(b.routes, func(_ uint32, r *Route) bool {
+		r.decay(b.total.at)
+		idle := r.arrived < idleCount && r.served < idleCount
+		if idle {
+			b.total.add(b.total.at, counts{arrived: -r.arrived, served: -r.served, used: -r.used})
+		}
+		return idle
+	})
 }
 
 // Ordered reports whether the requests of the route are ordered by value.
@@ -86,36 +99,38 @@
 }
 
 // Arrive counts a request of the route.
-func (r *Route) Arrive(now time.Duration) {
-	r.decay(now)
-	r.arrived++
-}
+func (r *Route) Arrive(now time.Duration) { r.count(now, counts{arrived: 1}) }
 
 // Serve counts a request of the route that got a slot for the given time.
 func (r *Route) Serve(now, slotTime time.Duration) {
-	r.decay(now)
-	r.served++
-	r.used += slotTime.Seconds()
+	r.count(now, counts{served: 1, used: slotTime.Seconds()})
+}
+
+func (r *Route) count(now time.Duration, more counts) {
+	r.add(now, more)
+	r.book.total.add(now, more)
+}
+
+func (c *counts) add(now time.Duration, more counts) {
+	c.decay(now)
+	c.arrived, c.served, c.used = c.arrived+more.arrived, c.served+more.served, c.used+more.used
 }
 
 // decay lets the counts decay to the given time. Most calls repeat the time of the last one.
-func (r *Route) decay(now time.Duration) {
-	if now == r.at {
+func (c *counts) decay(now time.Duration) {
+	if now == c.at {
 		return
 	}
-	f := math.Exp(-float64(now-r.at) / float64(memory))
-	r.arrived, r.served, r.used, r.at = r.arrived*f, r.served*f, r.used*f, now
+	f := math.Exp(-float64(now-c.at) / float64(memory))
+	c.arrived, c.served, c.used, c.at = c.arrived*f, c.served*f, c.used*f, now
 }
 
 // score returns the route's score, and whether the route is short of its share.
 func (r *Route) score(now time.Duration) (score float64, short bool) {
+	all := &r.book.total
 	r.decay(now)
-	arrived, served := 0.0, 0.0
-	for _, o := range r.book.routes {
-		o.decay(now)
-		arrived, served = arrived+o.arrived, served+o.served
-	}
-	short = !r.mixed && r.arrived >= minArrivals && r.served*arrived < r.book.rules.Floor*served*r.arrived
+	all.decay(now)
+	short = !r.mixed && r.arrived >= minArrivals && r.served*all.arrived < r.book.rules.Floor*all.served*r.arrived
 	return r.book.rules.Score(Class{Priority: r.priority, Work: r.Work(), Usual: *r.book.usual, Used: r.used}), short
 }
 
@@ -133,6 +148,7 @@
 	own, _ := r.score(now)
 	higher, demand, total := 0.0, 0.0, 0.0
 	for _, o := range r.book.routes {
+		o.decay(now)
 		work := o.arrived * o.Work().Seconds()
 		total += work
 		if o == r {
--- a/internal/entry/order/order_test.go
+++ b/internal/entry/order/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -56,6 +57,31 @@
 	qt.Check(t, b.Route(1, 0), qt.Equals, busy)
 }
 
+// TestTotalIsTheSumOfRoutes guards against a sum that differs from the counts of the routes, which would make routes short or not.
+func TestTotalIsTheSumOfRoutes(t *testing.T) {
+	usual := 200 * time.Millisecond
+	rapid.Check(t, func(r *rapid.T) {
+		b, now := NewBook(&usual, Default()), time.Duration(0)
+		for range rapid.IntRange(0, 300).Draw(r, "requests") {
+			now += time.Duration(rapid.IntRange(0, 1000).Draw(r, "pause")) * time.Millisecond
+			v := b.Route(uint32(rapid.IntRange(0, 2*maxRoutes).Draw(r, "route")), 0)
+			v.Arrive(now)
+			v.Serve(now, usual)
+		}
+		sum := counts{at: now}
+		for _, v := range b.routes {
+			v.decay(now)
+			sum.add(now, v.counts)
+		}
+		b.total.decay(now)
+		for _, d := range []float64{sum.arrived - b.total.arrived, sum.served - b.total.served, sum.used - b.total.used} {
+			if math.Abs(d) > 1e-6 {
+				r.Fatalf("the sum is %v and the total %v", sum, b.total)
+			}
+		}
+	})
+}
+
 type waiting struct {
 	id     int
 	target uint32
--- a/internal/entry/sched/queue.go
+++ b/internal/entry/sched/queue.go
@@ -106,18 +106,18 @@
 // unservable returns the waiting jobs that can no longer be served in time, with the estimated time until each would get a slot.
 // Requests for one upstream wait only behind each other, those for any upstream behind all.
 func (s *Scheduler) unservable(now time.Duration) (list []*job, waits []time.Duration) {
-	targets := s.waiting.Targets()
+	targets, slots, shares := s.waiting.Targets(), s.totalSlots(), map[*order.Route]float64{}
 	for _, target := range targets {
 		walked := []uint32{target}
 		if target == 0 {
 			walked = targets
 		}
 		var c *capacity
-		ahead, work, shares := 0, time.Duration(0), map[*order.Route]float64{}
+		ahead, work := 0, time.Duration(0)
 		s.waiting.Walk(now, walked, true, func(j *job) bool {
 			if j.request.Upstream == target {
 				if shares[j.route] == 0 {
-					shares[j.route] = j.route.Share(now, s.totalSlots())
+					shares[j.route] = j.route.Share(now, slots)
 				}
 				own := c
 				if own == nil || len(j.request.Exclude) > 0 {
--- a/internal/entry/sched/value_test.go
+++ b/internal/entry/sched/value_test.go
@@ -236,3 +236,20 @@
 	short, long := s.book.Route(1, 0).Work(), s.book.Route(2, 0).Work()
 	qt.Check(t, short > 130*ms && short < 170*ms && long > 650*ms && long < 850*ms, qt.IsTrue, qt.Commentf("%v %v", short, long))
 }
+
+// TestTickScoresRoutesOnce guards against ticks whose work grows with the routes squared for each upstream: with 32 routes and 24 keyed
+// upstreams that took a tenth of a core.
+func TestTickScoresRoutesOnce(t *testing.T) {
+	const upstreams, routes = 8, 8
+	s, scores := newScheduler(upstreamsOf(slices.Repeat([]int{1}, upstreams)...)), 0
+	s.book = order.NewBook(&s.avgTime, order.Rules{Score: func(c order.Class) float64 { scores++; return order.ValuePerWork(c) }})
+	for id := range uint64(2 * upstreams * routes) {
+		s.Submit(0, "h", SlotRequest{ID: id + 1, Route: uint32(id/upstreams%routes) + 1, Upstream: uint32(id%upstreams) + 1, Timeout: time.Minute,
+			Objective: time.Minute})
+	}
+	_, waiting := s.Load()
+	qt.Assert(t, waiting, qt.Equals, (2*routes-1)*upstreams)
+	scores = 0
+	s.unservable(0)
+	qt.Check(t, scores <= routes*(routes+1)+upstreams*routes, qt.IsTrue, qt.Commentf("%d scores", scores))
+}
