--- a/internal/entry/link/admit.go
+++ b/internal/entry/link/admit.go
@@ -46,8 +46,8 @@
 
 // Admit decides whether a small request is handled. It answers a load beyond the link's rate: a request that would wait for too much of
 // its objective is rejected at once, the least urgent first, as a caller that returns reaches another host. While the congestion keeps
-// the news of control from this host, every request is rejected: it would be routed by a table that may be out of date. The number draw
-// is random, from 0 to 1.
+// the responses of control from this host, every request is rejected: it would be routed by a table that may be out of date. The number
+// draw is random, from 0 to 1.
 func Admit(l Load, priority int, objective time.Duration, draw float64) Admission {
 	if l.received > congested && l.silence > maxSilence {
 		return Admission{after: usagePeriod}
--- a/internal/entry/order/value.go
+++ b/internal/entry/order/value.go
@@ -7,12 +7,12 @@
 
 // Parameters of the order. The replays in internal/entry/sched/value_test.go compare them with the alternatives.
 const (
-	levelFactor = 2.0  // weight of one level of priority
-	maxLevel    = 8    // lower priorities weigh no less than this level
-	minShare    = 0.1  // least share of the slots assumed for a route in estimates, so that waits stay finite
-	planMargin  = 1.3  // factor on the work when planning a request, as requests and upstreams differ
-	patience    = 1.05 // a Retry-After beyond what callers honour exceeds that by this factor at least
-	spread      = 0.5  // callers that are rejected together return over this part of their Retry-After
+	levelFactor   = 2.0  // weight of one level of priority
+	maxLevel      = 8    // lower priorities weigh no less than this level
+	minShare      = 0.1  // least share of the slots assumed for a route in estimates, so that waits stay finite
+	planMargin    = 1.3  // factor on the work when planning a request, as requests and upstreams differ
+	aboveHonoured = 1.05 // a Retry-After beyond what callers honour exceeds that by this factor at least
+	spread        = 0.5  // callers that are rejected together return over this part of their Retry-After
 )
 
 // workLimit bounds the effect of the work on the score. Two requests differ by workLimit squared at most, which is below
@@ -59,7 +59,7 @@
 // longer than what callers honour: waiting shortens the queue no faster than the time that is left.
 func RetryAfter(wait, service, left time.Duration, at float64) time.Duration {
 	if wait+service > left {
-		wait = max(wait, time.Duration(patience*honoured*float64(left)))
+		wait = max(wait, time.Duration(aboveHonoured*honoured*float64(left)))
 	}
 	return time.Duration(float64(wait) * (1 + spread*at))
 }
