sched, cold: parts of permits of several upstreams start nothing

The estimated wait added up the parts of permits of several cold upstreams, so that it was too short, or zero, while none could grant one. A request that asked not to be queued was then told to ask again before that could help. Without warm upstreams, the wait is now at least the time until the first whole permit. TestPartsOfPermitsStartNothing fails without the change.

--- a/internal/entry/cold/bucket.go
+++ b/internal/entry/cold/bucket.go
@@ -36,6 +36,9 @@
 // Ready reports whether a permit can be granted.
 func (b *Bucket) Ready(now time.Duration) bool { return b.limit.rate > 0 && now >= b.next }
 
+// Wait returns the time until a permit can be granted.
+func (b *Bucket) Wait(now time.Duration) time.Duration { return max(b.next-now, 0) }
+
 // Take grants a permit; Ready must have reported true.
 func (b *Bucket) Take(now time.Duration) {
 	for len(b.grants) > 0 && now-b.grants[0] > refundTime {
--- a/internal/entry/sched/cold.go
+++ b/internal/entry/sched/cold.go
@@ -122,13 +122,15 @@
 }
 
 // coldCapacity sums up the cold upstreams that may run a request. rate is the number of requests that they start per second while they are
-// cold, ready the permits that can be granted now, and left the time until the first of them is warm. The slots and latency ratios are as
-// in capacity.
+// cold, ready the permits that can be granted now or in part, next the time until one can be granted for a free slot, and left the time
+// until the first of them is warm. The slots and latency ratios are as in capacity.
 type coldCapacity struct {
 	slots           int
 	latencyRatioSum float64
 	rate            float64
 	ready           float64
+	free            bool
+	next            time.Duration
 	left            time.Duration
 }
 
@@ -137,6 +139,9 @@
 	if left := u.cold.left(now); c.slots == 0 || left < c.left {
 		c.left = left
 	}
+	if next := u.cold.bucket.Wait(now); u.busy < u.limit() && (!c.free || next < c.next) {
+		c.free, c.next = true, next
+	}
 	c.slots += u.limit()
 	c.latencyRatioSum += u.latencyRatio * float64(u.limit())
 	c.rate += u.cold.limit.Rate()
@@ -144,8 +149,16 @@
 }
 
 // wait estimates the time until a slot is free for a request, as capacity.wait does, with warm upstreams and cold ones. Until left the
-// cold ones start requests at the rate of their permits, and afterwards as fast as warm ones.
+// cold ones start requests at the rate of their permits, and afterwards as fast as warm ones. Parts of permits of several upstreams start
+// nothing: without warm upstreams a request waits until one of them has a whole one.
 func (c coldCapacity) wait(warm capacity, avgTime time.Duration, ahead int) time.Duration {
+	if warm.slots == 0 {
+		return max(c.next, c.waitByRate(warm, avgTime, ahead))
+	}
+	return c.waitByRate(warm, avgTime, ahead)
+}
+
+func (c coldCapacity) waitByRate(warm capacity, avgTime time.Duration, ahead int) time.Duration {
 	n := float64(ahead+1-warm.free) - c.ready
 	if n <= permitRounding {
 		return 0
--- a/internal/entry/sched/cold_test.go
+++ b/internal/entry/sched/cold_test.go
@@ -158,3 +158,17 @@
 	qt.Check(t, s.freeTargets(s.newCosts(0)), qt.HasLen, 0)
 	qt.Check(t, s.freeTargets(s.newCosts(now)), qt.DeepEquals, []uint32{0, 1})
 }
+
+// TestPartsOfPermitsStartNothing guards against a wait of zero, and hosts that ask again at once, while several cold upstreams have a part
+// of a permit each and none has a whole one.
+func TestPartsOfPermitsStartNothing(t *testing.T) {
+	list := coldUpstreams(0, 4)[4:]
+	s, now := newScheduler(list), 200*time.Millisecond
+	r := slotRequest(1)
+	r.NoQueue = true
+	busy := replyFor(s.Submit(now, "h", r), 1)
+	qt.Check(t, busy.Decision, qt.Equals, Busy)
+	qt.Check(t, busy.After > 30*time.Millisecond && busy.After < 40*time.Millisecond, qt.IsTrue, qt.Commentf("%v", busy.After))
+	r.ID = 2
+	qt.Check(t, replyFor(s.Submit(now+busy.After, "h", r), 2).Decision, qt.Equals, Assigned)
+}
