--- a/internal/entry/order/order_test.go
+++ b/internal/entry/order/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -40,6 +41,47 @@
 	qt.Check(t, r.Work() > 900*time.Millisecond && r.Work() < 1100*time.Millisecond, qt.IsTrue)
 }
 
+// TestIdleRoutesMakeRoom guards against routes of old configurations that take the places of new ones for as long as the scheduler runs,
+// and against forgetting routes with requests.
+func TestIdleRoutesMakeRoom(t *testing.T) {
+	usual := 200 * time.Millisecond
+	b := NewBook(&usual, Default())
+	for id := range uint32(maxRoutes) {
+		b.Route(id+1, 0).Arrive(0)
+	}
+	qt.Check(t, b.Route(maxRoutes+1, 0).Ordered(), qt.IsFalse)
+	busy := b.Route(1, 0)
+	busy.Arrive(time.Minute)
+	busy.Score(time.Minute)
+	qt.Check(t, b.Route(maxRoutes+1, 0).Ordered(), qt.IsTrue)
+	qt.Check(t, b.Route(1, 0), qt.Equals, busy)
+}
+
+// TestTotalIsTheSumOfRoutes guards against a sum that differs from the counts of the routes, which would make routes short or not.
+func TestTotalIsTheSumOfRoutes(t *testing.T) {
+	usual := 200 * time.Millisecond
+	rapid.Check(t, func(r *rapid.T) {
+		b, now := NewBook(&usual, Default()), time.Duration(0)
+		for range rapid.IntRange(0, 300).Draw(r, "requests") {
+			now += time.Duration(rapid.IntRange(0, 1000).Draw(r, "pause")) * time.Millisecond
+			v := b.Route(uint32(rapid.IntRange(0, 2*maxRoutes).Draw(r, "route")), 0)
+			v.Arrive(now)
+			v.Serve(now, usual)
+		}
+		sum := counts{at: now}
+		for _, v := range b.routes {
+			v.decay(now)
+			sum.add(now, v.counts)
+		}
+		b.total.decay(now)
+		for _, d := range []float64{sum.arrived - b.total.arrived, sum.served - b.total.served, sum.used - b.total.used} {
+			if math.Abs(d) > 1e-6 {
+				r.Fatalf("the sum is %v and the total %v", sum, b.total)
+			}
+		}
+	})
+}
+
 type waiting struct {
 	id     int
 	target uint32
