sched, broker: requests wait up to 60 ms longer in their own data centre

While subsets report waits, requests went to the shortest one, in whatever data centre. On hosts that state their link, another data centre must now be better by 60 ms.

--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -20,13 +20,19 @@
 const (
 	ownerWaitShare  = 0.6                   // share of the time left for which a request waits for an owner of its key, or for a configuration
 	ownerPollPeriod = 60 * time.Millisecond // pause between checks for an owner while the table does not change
+	remoteDelay     = 60 * time.Millisecond // longest additional wait in the own data centre; an eighth of the shortest objectives
 	leaveMargin     = 0.7                   // share of the leave time in which a draining upstream is sent requests; the rest covers propagation delays
 )
 
 // newSchedulerNode returns this host's endpoint of the slot scheduling protocol. It requests slots from the hosts that run the
 // schedulers of a service, and runs schedulers for the subsets for which hosts ask this one.
 func (b *Broker) newSchedulerNode() *sched.Node {
-	return sched.New(sched.Options{Self: sched.Host{Name: b.options.Host, Address: b.options.Address, DataCentre: b.options.DataCentre}, Clock: b.options.Clock,
+	remote := time.Duration(0)
+	if b.options.Link != nil { // bytes count on a host that states its link
+		remote = remoteDelay
+	}
+	return sched.New(sched.Options{RemoteDelay: remote,
+		Self: sched.Host{Name: b.options.Host, Address: b.options.Address, DataCentre: b.options.DataCentre}, Clock: b.options.Clock,
 		Retries: b.options.Retries, Hosts: b.schedulerHosts, Upstreams: b.schedulerUpstreams, CanSchedule: b.options.ControlReachable,
 		OnUnresponsive: func(service, scheduler string, unresponsive bool) {
 			b.options.Log.Write(events.SchedulerSkipped, zap.String("service", service), zap.String("dealer", scheduler), zap.Bool("silent", unresponsive))
--- a/internal/entry/sched/acquire.go
+++ b/internal/entry/sched/acquire.go
@@ -50,7 +50,8 @@
 		}
 		return n.acquireFromSubset(ctx, d.subsets.Of(u), request)
 	}
-	ordered := d.order(request.DataCentre, request.Exclude, n.hintedWait, rand.Float64)
+	wait := n.waitFrom(request.DataCentre)
+	ordered := d.order(request.DataCentre, request.Exclude, wait, rand.Float64)
 	if len(ordered) == 0 {
 		return nil, &ErrRejected{Decision: NoUpstream}
 	}
@@ -62,7 +63,7 @@
 		}
 		asked++
 	}
-	for _, sub := range n.queueCandidates(ordered) {
+	for _, sub := range n.queueCandidates(ordered, wait) {
 		s, err = n.acquireFromSubset(ctx, sub, d.forSubset(sub, request, expires-n.options.Clock(), false))
 		if _, none := err.(*ErrNoScheduler); !none {
 			return s, err
@@ -84,11 +85,22 @@
 
 // queueCandidates returns the subsets in which to queue, those with the shortest known wait first. The ones after the first serve
 // as a fallback when no scheduler replies.
-func (n *Node) queueCandidates(ordered []Subset) []Subset {
-	slices.SortStableFunc(ordered, func(a, b Subset) int { return cmp.Compare(n.hintedWait(a), n.hintedWait(b)) })
+func (n *Node) queueCandidates(ordered []Subset, wait func(Subset) time.Duration) []Subset {
+	slices.SortStableFunc(ordered, func(a, b Subset) int { return cmp.Compare(wait(a), wait(b)) })
 	return ordered[:min(len(ordered), maxHostsTried)]
 }
 
+// waitFrom returns the hinted waits of subsets for requests from a data centre. Those in other data centres count as longer by the delay
+// that a request may have to save the bytes of the way there.
+func (n *Node) waitFrom(dataCentre string) func(Subset) time.Duration {
+	return func(s Subset) time.Duration {
+		if s.DataCentre != "" && s.DataCentre != dataCentre {
+			return n.hintedWait(s) + n.options.RemoteDelay
+		}
+		return n.hintedWait(s)
+	}
+}
+
 // hintedWait returns the time until a subset should have a free slot, as last reported by its scheduler. It returns zero if a
 // slot should be free now or nothing is known.
 func (n *Node) hintedWait(sub Subset) time.Duration {
--- a/internal/entry/sched/node.go
+++ b/internal/entry/sched/node.go
@@ -53,6 +53,8 @@
 	Upstreams func(service string) []Upstream
 	Retries   retry.Limits
 	Clock     clock.Clock
+	// RemoteDelay is how much longer a request may wait in its own data centre than in another one.
+	RemoteDelay time.Duration
 	// CanSchedule reports whether this host's routing table is recent enough to schedule by.
 	CanSchedule    func() bool
 	OnUnresponsive func(service, scheduler string, unresponsive bool)
--- a/internal/entry/sched/subset_test.go
+++ b/internal/entry/sched/subset_test.go
@@ -177,3 +177,24 @@
 	}
 	return 1 - float64(len(met))/float64(len(arrivals)), busiest
 }
+
+// TestOwnDataCentreIsPreferredForALimitedTime guards against requests that cross data centres to wait only a little less.
+func TestOwnDataCentreIsPreferredForALimitedTime(t *testing.T) {
+	now := time.Duration(0)
+	list := upstreamsInThreeCentres(106)
+	n := New(Options{Upstreams: func(string) []Upstream { return list }, Clock: func() time.Duration { return now }, RemoteDelay: 60 * time.Millisecond})
+	d := n.directoryOf("s")
+	for _, v := range []struct {
+		wait  time.Duration
+		local bool
+	}{{0, true}, {50 * time.Millisecond, true}, {70 * time.Millisecond, false}} {
+		for _, s := range d.usable {
+			if s.DataCentre == "d0" {
+				n.setHint(s, v.wait)
+			}
+		}
+		ordered := d.order("d0", nil, n.waitFrom("d0"), rand.Float64)
+		qt.Check(t, ordered[0].DataCentre == "d0", qt.Equals, v.local)
+		qt.Check(t, n.queueCandidates(ordered, n.waitFrom("d0"))[0].DataCentre == "d0", qt.Equals, v.local)
+	}
+}
