memory: closed connections end their wait, reads do not review all claims

A reader that waited for memory when its connection was closed waited forever: the claim was released, but neither granted nor refused. Its goroutine and the server's entry for the connection stayed, so that a shutdown waited for them. A released claim now ends the wait.

While a request waited, each read on any connection went through all claims, and so did each waiting request every 100 ms. Reads now only note progress, a release grants what fits, and stalls are looked for once in 100 ms for all. A refused claim that asks again is refused rather than queued without anyone who waits.

TestCloseEndsWait and TestReadsWhileOthersWait fail without the change.

--- a/internal/shared/memory/account.go
+++ b/internal/shared/memory/account.go
@@ -59,10 +59,10 @@
 	switch {
 	case c.closed:
 		return true
-	case c.evicted:
+	case c.evicted || c.refused:
 		return false
 	}
-	if !a.blocked(c, bytes) && a.fits(c, bytes) {
+	if !a.isBlocked(c, bytes) && a.fits(c, bytes) {
 		a.Grow(c, bytes)
 		return true
 	}
@@ -101,25 +101,41 @@
 	a.remove(c)
 }
 
-// Step grants what fits now, in order, and returns the claims that got their bytes, those that waited for too long, and those that are
-// evicted because they make less than the minimum progress while others wait.
+// Step grants what fits now, and returns the claims that got their bytes, those that waited for too long, and those that are evicted
+// because they make less than the minimum progress while others wait.
 func (a *Account) Step(now time.Duration) (granted, refused, evicted []*Claim) {
-	for _, c := range slices.Clone(a.waiting) {
-		switch {
-		case !a.blocked(c, c.wants) && a.fits(c, c.wants):
-			a.remove(c)
-			a.Grow(c, c.wants)
-			c.wants, c.marked, c.moved = 0, now, 0
-			granted = append(granted, c)
-		case now-c.since >= maxWait:
-			a.remove(c)
-			c.refused = true
+	granted = a.Grant(now)
+	a.waiting = slices.DeleteFunc(a.waiting, func(c *Claim) bool {
+		if c.refused = now-c.since >= maxWait; c.refused {
 			refused = append(refused, c)
 		}
+		return c.refused
+	})
+	if len(refused) > 0 {
+		granted = append(granted, a.Grant(now)...)
 	}
 	return granted, refused, a.evict(now)
 }
 
+// Grant gives the waiting claims of each class their bytes in order, up to the first that does not fit, and returns those that got them.
+func (a *Account) Grant(now time.Duration) (granted []*Claim) {
+	var blocked [2]bool // large and small claims
+	a.waiting = slices.DeleteFunc(a.waiting, func(c *Claim) bool {
+		class := &blocked[0]
+		if isSmall(c.held + c.wants) {
+			class = &blocked[1]
+		}
+		if *class = *class || !a.fits(c, c.wants); *class {
+			return false
+		}
+		a.Grow(c, c.wants)
+		c.wants, c.marked, c.moved = 0, now, 0
+		granted = append(granted, c)
+		return true
+	})
+	return granted
+}
+
 // evict marks the claims without progress, those with the longest stall first, until they cover what is waited for.
 func (a *Account) evict(now time.Duration) (evicted []*Claim) {
 	needed := int64(0)
@@ -148,17 +164,9 @@
 	return evicted
 }
 
-// blocked reports whether a claim of the same class waits before this one.
-func (a *Account) blocked(c *Claim, bytes int64) bool {
-	for _, w := range a.waiting {
-		if w == c {
-			return false
-		}
-		if isSmall(w.held+w.wants) == isSmall(c.held+bytes) {
-			return true
-		}
-	}
-	return false
+// isBlocked reports whether a claim of the same class waits already.
+func (a *Account) isBlocked(c *Claim, bytes int64) bool {
+	return slices.ContainsFunc(a.waiting, func(w *Claim) bool { return isSmall(w.held+w.wants) == isSmall(c.held+bytes) })
 }
 
 // fits reports whether there is room for more bytes of a claim.
--- a/internal/shared/memory/conn.go
+++ b/internal/shared/memory/conn.go
@@ -138,7 +138,7 @@
 	if c.slot.isEvicted() {
 		r = ReasonConnections
 	}
-	if c.slot.refuse() {
+	if c.slot.refuse() && r != ReasonClosed {
 		c.gate.refuse(c.RemoteAddr().String(), r)
 	}
 	return &ErrRefused{Reason: r}
--- a/internal/shared/memory/gate.go
+++ b/internal/shared/memory/gate.go
@@ -10,11 +10,13 @@
 type Reason string
 
 // Reasons. ReasonWaited: the request waited for too long for memory. ReasonStalled: it made too little progress while others waited.
-// ReasonConnections: the connection had no request in progress and others waited to be accepted.
+// ReasonConnections: the connection had no request in progress and others waited to be accepted. ReasonClosed: the connection was closed
+// while the request waited; that is neither counted nor reported.
 const (
 	ReasonWaited      Reason = "waited"
 	ReasonStalled     Reason = "stalled"
 	ReasonConnections Reason = "connections"
+	ReasonClosed      Reason = "closed"
 )
 
 // ErrRefused is returned by reads of a request that gets no memory. It counts as a time-out, so that HTTP servers close the connection.
@@ -43,6 +45,7 @@
 	refusals  map[Reason]*atomic.Int64
 	onRefused func(remote string, r Reason)
 	traffic   Traffic
+	reviewed  time.Duration
 }
 
 // Traffic counts the bytes of accepted connections.
@@ -93,16 +96,18 @@
 	if g.account.Ask(c, bytes, g.now()) {
 		return ""
 	}
-	for !c.evicted && !c.refused && c.wants > 0 {
+	for !c.closed && !c.evicted && !c.refused && c.wants > 0 {
 		g.mutex.Unlock()
 		select {
 		case <-ready:
 		case <-time.After(stepPeriod):
 		}
 		g.mutex.Lock()
-		g.step()
+		g.review()
 	}
 	switch {
+	case c.closed:
+		return ReasonClosed
 	case c.evicted:
 		return ReasonStalled
 	case c.refused:
@@ -111,23 +116,32 @@
 	return ""
 }
 
-// step carries out what the account decides; the mutex must be held.
-func (g *Gate) step() {
-	granted, refused, evicted := g.account.Step(g.now())
-	for _, c := range append(granted, refused...) {
-		c.notify(false)
+// review carries out what the account decides, once in stepPeriod for all requests that wait: it goes through all claims. The mutex must
+// be held.
+func (g *Gate) review() {
+	now := g.now()
+	if now-g.reviewed < stepPeriod {
+		return
 	}
-	for _, c := range evicted {
-		c.notify(true)
+	g.reviewed = now
+	granted, refused, evicted := g.account.Step(now)
+	notify(append(granted, refused...), false)
+	notify(evicted, true)
+}
+
+func notify(claims []*Claim, evicted bool) {
+	for _, c := range claims {
+		c.notify(evicted)
 	}
 }
 
-// do applies a change to the account, and grants what fits after it.
+// do applies a change to the account, and grants what fits if the change freed bytes.
 func (g *Gate) do(change func(a *Account, now time.Duration)) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	change(g.account, g.now())
-	if len(g.account.waiting) > 0 {
-		g.step()
+	now, before := g.now(), g.account.Held()
+	change(g.account, now)
+	if len(g.account.waiting) > 0 && g.account.Held() < before {
+		notify(g.account.Grant(now), false)
 	}
 }
--- /dev/null
+++ b/internal/shared/memory/gate_test.go
@@ -0,0 +1,62 @@
+package memory
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// accept returns the server's and the client's side of a connection of a new gate with the given memory.
+func accept(c *qt.C, memory int64) (own *Conn, client net.Conn) {
+	c.Helper()
+	g := NewGate(NewPlan(memory, 1024), func(string, Reason) {})
+	l, err := g.Listen("127.0.0.1:0", CallerUse)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	client, err = net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = client.Close() })
+	raw, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	return raw.(*Conn), client
+}
+
+// TestCloseEndsWait guards against a reader that waits for memory forever because its connection was closed meanwhile, as when an earlier
+// response cannot be written: the server's shutdown would wait for it.
+func TestCloseEndsWait(t *testing.T) {
+	c := qt.New(t)
+	own, _ := accept(c, size)
+	first := own.gate.open(func(bool) {})
+	c.Assert(own.gate.acquire(first, own.gate.plan.Account(), nil), qt.Equals, Reason(""))
+	ended := make(chan error, 1)
+	go func() { ended <- own.StartBody(large, 1) }()
+	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+		own.gate.do(func(a *Account, _ time.Duration) { waiting = len(a.waiting) })
+	}
+	_ = own.Close()
+	select {
+	case err := <-ended:
+		c.Check(Refused(err), qt.IsTrue)
+	case <-time.After(2 * time.Second):
+		c.Fatal("the reader still waits")
+	}
+	own.gate.do(func(a *Account, _ time.Duration) { a.Release(first) })
+	c.Check(own.gate.Held(), qt.Equals, int64(0))
+}
+
+// TestReadsWhileOthersWait guards against reads that each go through all claims while others wait, which costs a host under attack its
+// processor.
+func TestReadsWhileOthersWait(t *testing.T) {
+	c, g := qt.New(t), NewGate(NewPlan(size, 1024), func(string, Reason) {})
+	first, second := g.open(func(bool) {}), g.open(func(bool) {})
+	g.do(func(a *Account, now time.Duration) {
+		c.Assert(a.Ask(first, a.size, now), qt.IsTrue)
+		c.Assert(a.Ask(second, large, now), qt.IsFalse)
+	})
+	read := func(a *Account, now time.Duration) { a.Progress(first, 1, now) }
+	c.Check(testing.AllocsPerRun(10, func() { g.do(read) }), qt.Equals, 0.0, qt.Commentf("the list of those that wait is copied"))
+	g.do(func(a *Account, _ time.Duration) { a.Release(first) })
+	c.Check(second.held, qt.Equals, int64(large), qt.Commentf("a release grants at once"))
+}
