bound: line feeds alone end the lines of a response's head

net/http takes a line feed without a carriage return for the end of a line; the recorder of heads did not. The head of such a response was never checked on connections of the relay, so that status 999 reached callers, and for the broker it was checked together with what had been read of the body, so that a body with a line such as Content-Length: 1 gave 502.

TestEndOfHead fails without the change.

--- a/internal/entry/bound/head.go
+++ b/internal/entry/bound/head.go
@@ -17,8 +17,20 @@
 // Error returns the message.
 func (e *ErrMalformed) Error() string { return "malformed response: " + e.Reason }
 
-// endOfHead is the empty line after the head of a response.
-var endOfHead = []byte("\r\n\r\n")
+// cutHead divides what was read at the empty line after the head of a response. Like net/http, it takes a line feed alone for the end of
+// a line.
+func cutHead(read []byte) (head, rest []byte, complete bool) {
+	for end := 0; ; {
+		line := bytes.IndexByte(read[end:], '\n')
+		if line < 0 {
+			return read, nil, false
+		}
+		end += line + 1
+		if rest, complete = bytes.CutPrefix(bytes.TrimPrefix(read[end:], []byte("\r")), []byte("\n")); complete {
+			return bytes.TrimSuffix(read[:end-1], []byte("\r")), rest, true
+		}
+	}
+}
 
 // CheckHead returns ErrMalformed if the status line and header of a response, up to the empty line, are not those of a response to a
 // request without an upgrade. net/http accepts every status that parses as a number, and resolves contradictory lengths by itself; a
@@ -85,7 +97,7 @@
 
 // Head returns the recorded head without the empty line that ends it, and whether it was complete.
 func (r *Recorder) Head() (head []byte, complete bool) {
-	head, _, complete = bytes.Cut(r.head, endOfHead)
+	head, _, complete = cutHead(r.head)
 	return head, complete
 }
 
@@ -124,7 +136,7 @@
 // checkComplete checks the recorded head if it is complete, and ends the recording unless the response is an interim one.
 func (r *Recorder) checkComplete() error {
 	for r.on {
-		head, complete := r.Head()
+		head, rest, complete := cutHead(r.head)
 		if !complete {
 			return nil
 		}
@@ -135,7 +147,7 @@
 			r.Stop()
 			return nil
 		}
-		r.Start(r.head[len(head)+len(endOfHead):])
+		r.Start(rest)
 	}
 	return nil
 }
--- a/internal/entry/bound/head_test.go
+++ b/internal/entry/bound/head_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -50,3 +53,36 @@
 		}
 	})
 }
+
+// TestEndOfHead guards against a head that net/http reads to its end and the recorder does not, as its lines end without a carriage return:
+// it was not checked, or checked together with the body.
+func TestEndOfHead(t *testing.T) {
+	for _, end := range []string{"\r\n\r\n", "\n\n", "\r\n\n", "\n\r\n"} {
+		t.Run(strconv.Quote(end), func(t *testing.T) {
+			c := qt.New(t)
+			read := func(response string) error {
+				own, peer := net.Pipe()
+				defer func() { _ = own.Close() }()
+				go func() {
+					_, _ = peer.Write([]byte(response))
+					_ = peer.Close()
+				}()
+				checked := NewConn(own)
+				checked.ExpectResponse()
+				r, err := http.ReadResponse(bufio.NewReader(checked), nil)
+				if err == nil {
+					_, err = io.ReadAll(r.Body)
+				}
+				return err
+			}
+			var bad *ErrMalformed
+			c.Check(read("HTTP/1.1 999 x\r\nContent-Length: 1"+end+"x"), qt.ErrorAs, &bad)
+			c.Check(read("HTTP/1.1 200 OK\r\nContent-Length: 17"+end+"Content-Length: 1"), qt.IsNil)
+			r := Recorder{}
+			r.Start([]byte("HTTP/1.1 200 OK\r\nContent-Length: 17" + end + "Content-Length: 1"))
+			head, complete := r.Head()
+			c.Check(complete, qt.IsTrue)
+			c.Check(CheckHead(head), qt.IsNil)
+		})
+	}
+}
