group: no proposal for a caller that has given up

A call that waited in the queue of the loop, as during a slow write to the disk, was proposed also after its caller had given up. An operator could by then have repeated an evacuation at another host and taken it back; the late one undid that. TestLateEvacuationIsNotProposed fails without the change.

--- a/internal/control/group/evacuate_test.go
+++ b/internal/control/group/evacuate_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// TestLateEvacuationIsNotProposed guards against a call that the loop takes up after its caller has given up: the caller may have repeated
+// it elsewhere and taken it back since.
+func TestLateEvacuationIsNotProposed(t *testing.T) {
+	w := newDepartureWorld(t)
+	g := w.leader().group
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() {
+		_, err := g.evacuateAsLeader(ctx, &oper.EvacuateRequest{DataCentre: "x", Out: true})
+		result <- err
+	}()
+	request := <-g.requests
+	cancel()
+	w.leader().step(func(*Group) error {
+		request()
+		return nil
+	})
+	w.c.Check(<-result, qt.IsNotNil)
+	w.run(w.now + time.Second)
+	w.c.Check(w.leader().group.state.Evacuations().Out("x"), qt.IsFalse)
+}
+
 // ownedShare returns the share of the slices that the upstreams of a data centre own.
 func (w *world) ownedShare(dataCentre string) float64 {
 	s, owned := w.leader().group.state, 0
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -464,6 +464,10 @@
 func (g *Group) proposeAndWait(ctx context.Context, c state.Command) (r state.Result, err error) {
 	answer := make(chan proposalAnswer, 1)
 	err = g.do(ctx, func() {
+		if e := ctx.Err(); e != nil { // the caller may have repeated the call, and made another one after it
+			answer <- proposalAnswer{err: e}
+			return
+		}
 		if _, e := g.servingLeader(); e != nil {
 			answer <- proposalAnswer{err: e}
 			return
