group, state: a delayed evacuation does not undo a later one

A control host that could not reach the leader gave up after 0.95 s, but the kernel delivered the call once the link was back. An operator had repeated it at another host by then and could have taken it back; the delayed start took the data centre out of service again. A forwarded call now states the log index that the forwarding host knew when it came, and changes nothing if the record was changed to the opposite since. The forwarding host then makes it again while its caller waits, so that concurrent calls are still acknowledged.

TestDelayedEvacuation and TestOvertakenEvacuation fail without the change.

--- a/internal/control/group/evacuate_test.go
+++ b/internal/control/group/evacuate_test.go
@@ -129,6 +129,38 @@
 	w.c.Check(w.leader().group.state.Evacuations().Out("x"), qt.IsFalse)
 }
 
+// TestOvertakenEvacuation guards against a call that is refused because an opposite one is committed while its caller waits: it is made
+// again, and holds.
+func TestOvertakenEvacuation(t *testing.T) {
+	w := newDepartureWorld(t)
+	overtaken := false
+	w.call(w.leader(), func(ctx context.Context, g *Group) error {
+		_, err := g.Evacuate(&overtakenContext{Context: ctx, overtake: func() {
+			overtaken = true
+			_, _ = g.evacuateAsLeader(ctx, &oper.EvacuateRequest{DataCentre: "x", Out: true})
+			_, _ = g.evacuateAsLeader(ctx, &oper.EvacuateRequest{DataCentre: "x"})
+		}}, &oper.EvacuateRequest{DataCentre: "x", Out: true})
+		return err
+	})
+	w.c.Check(overtaken, qt.IsTrue)
+	w.c.Check(w.leader().group.state.Evacuations().Out("x"), qt.IsTrue)
+}
+
+// overtakenContext calls overtake once, when the first request to the loop is made with it that proposes something.
+type overtakenContext struct {
+	context.Context
+	requests int
+	overtake func()
+}
+
+// Done counts the requests to the loop: the first one reads what the host knows.
+func (c *overtakenContext) Done() <-chan struct{} {
+	if c.requests++; c.requests == 2 {
+		c.overtake()
+	}
+	return c.Context.Done()
+}
+
 // ownedShare returns the share of the slices that the upstreams of a data centre own.
 func (w *world) ownedShare(dataCentre string) float64 {
 	s, owned := w.leader().group.state, 0
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -37,12 +37,13 @@
 }
 
 // Evacuate takes a data centre out of service, or back if Out is not set. By is the operator as far as known, At the leader's time as Unix
-// milliseconds.
+// milliseconds. The command changes nothing if another one has changed the record after the log index Known, unless Known is zero.
 type Evacuate struct {
 	DataCentre string `cbor:"1,keyasint"`
 	Out        bool   `cbor:"2,keyasint,omitempty"`
 	By         string `cbor:"3,keyasint,omitempty"`
 	At         int64  `cbor:"4,keyasint,omitempty"`
+	Known      uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // DropUpstreams removes upstream incarnations. The proposer must have made certain that all their grants have ended. If their leases
@@ -115,12 +116,13 @@
 // Result is returned to the proposer of a command when the command has been applied. Outcome is set for a publish, Number for an
 // upstream that joined, Changed for a patch (the number of changed items)
 // and for an evacuation (0 or 1). Rejection is the reason if the command was
-// rejected, else empty.
+// rejected, else empty; Outdated says that it was because of a later one.
 type Result struct {
 	Outcome   *table.PublishResult
 	Number    uint32
 	Changed   int
 	Rejection string
+	Outdated  bool
 }
 
 // EncodeCommand returns the encoding of a command in a log entry.
--- a/internal/control/state/evacuate_test.go
+++ b/internal/control/state/evacuate_test.go
@@ -52,6 +52,22 @@
 	})
 }
 
+// TestDelayedEvacuation guards against a call that was delayed on its way to the leader and undoes a later one.
+func TestDelayedEvacuation(t *testing.T) {
+	c, h := qt.New(t), newHarness()
+	h.mustApply(t, join("u", 1))
+	known := h.state.Index()
+	call := func(out bool, known uint64) Result {
+		return h.mustApply(t, Command{Evacuate: &Evacuate{DataCentre: "z", Out: out, Known: known}})
+	}
+	c.Check(call(true, known).Changed, qt.Equals, 1)
+	c.Check(call(true, known), qt.Equals, Result{}, qt.Commentf("a repeated call"))
+	c.Check(call(false, 0).Changed, qt.Equals, 1)
+	c.Check(call(true, known).Outdated, qt.IsTrue)
+	c.Check(h.state.Evacuations().Out("z"), qt.IsFalse)
+	c.Check(call(true, h.state.Index()).Changed, qt.Equals, 1)
+}
+
 // TestRepeatedEvacuation guards against a repeated call that wakes all entry hosts, or that hides who made the first.
 func TestRepeatedEvacuation(t *testing.T) {
 	c, h := qt.New(t), newHarness()
--- a/internal/shared/oper/oper.go
+++ b/internal/shared/oper/oper.go
@@ -118,11 +118,13 @@
 	Items []items.Item `cbor:"1,keyasint" json:"items"`
 }
 
-// EvacuateRequest takes a data centre out of service, or back if Out is not set. By is who asks, empty if that is not known.
+// EvacuateRequest takes a data centre out of service, or back if Out is not set. By is who asks, empty if that is not known. Known is the
+// log index up to which the control host that forwards the call knew the state when the call came; it is zero in an operator's own call.
 type EvacuateRequest struct {
 	DataCentre string `cbor:"1,keyasint"`
 	Out        bool   `cbor:"2,keyasint"`
 	By         string `cbor:"3,keyasint"`
+	Known      uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // LeaveRequest announces that a process of an upstream leaves. If its incarnation is not known, Incarnation is zero and Latest is the
@@ -260,6 +262,17 @@
 // Code returns the Connect error code.
 func (e *ErrInvalid) Code() connect.Code { return connect.CodeInvalidArgument }
 
+// ErrOutdated is returned for a call that changed nothing because a later one was committed before it.
+type ErrOutdated struct {
+	Reason string
+}
+
+// Error returns the message.
+func (e *ErrOutdated) Error() string { return e.Reason }
+
+// Code returns the Connect error code.
+func (e *ErrOutdated) Code() connect.Code { return connect.CodeAborted }
+
 // ErrOutcomeUnknown is returned when leadership was lost before the result of a proposal was known. The caller learns the
 // result by sending the request again.
 type ErrOutcomeUnknown struct{}
