memory, daemon: connections of control hosts suffice for all upstreams

A control host gave upstreams and operators a fifth of its connections, 213 at 144 MiB and 298 at 184 MiB, although it has no callers' listener for the largest share. The deployments have 322 and 340 upstreams, all of which are pointed to the leader and keep their connections. With a heartbeat each second no connection was silent for the 1 s after which it gives way, so that the other upstreams and operators' calls waited in the kernel's queue. Hosts without callers now divide all connections among their listeners, and connections of upstreams give way after 0.3 s without a request.

--- a/internal/ops/daemon/memory.go
+++ b/internal/ops/daemon/memory.go
@@ -20,6 +20,9 @@
 		descriptors = d.settings.Descriptors()
 	}
 	plan := memory.NewPlan(limit, descriptors)
+	if !d.settings.Entry() {
+		plan = plan.For(memory.PeerUse, memory.OtherUse, memory.OtherUse, memory.PlatformUse)
+	}
 	plan.Apply()
 	d.gate = memory.NewGate(plan, func(remote string, r memory.Reason) {
 		d.log.Write(events.MemoryRefused, zap.String("remote", remote), zap.String("reason", string(r)))
--- a/internal/shared/memory/account_test.go
+++ b/internal/shared/memory/account_test.go
@@ -88,6 +88,16 @@
 	})
 }
 
+// TestControlPlan guards against control hosts that have too few connections for the upstreams and entry hosts of the deployments, all of
+// which may use one control host: a connection for each upstream, and for each entry host one that waits for news and one for renewals.
+func TestControlPlan(t *testing.T) {
+	p := NewPlan(144<<20, 3075).For(PeerUse, OtherUse, OtherUse, PlatformUse)
+	qt.Check(t, p.Connections(PlatformUse.share) >= 340, qt.IsTrue)
+	qt.Check(t, p.Connections(PeerUse.share) >= 2*(59+18), qt.IsTrue)
+	sum := 2 * p.Connections(OtherUse.share)
+	qt.Check(t, sum+p.Connections(PeerUse.share)+p.Connections(PlatformUse.share) <= p.connections, qt.IsTrue)
+}
+
 // TestPlan guards against parts that together exceed the memory of the smallest hosts.
 func TestPlan(t *testing.T) {
 	for _, mib := range []int64{96, 144, 184, 284, 424} {
--- a/internal/shared/memory/gate_test.go
+++ b/internal/shared/memory/gate_test.go
@@ -60,3 +60,16 @@
 	g.do(func(a *Account, _ time.Duration) { a.Release(first) })
 	c.Check(second.held, qt.Equals, int64(large), qt.Commentf("a release grants at once"))
 }
+
+// TestHeartbeatsGiveWay guards against connections of upstreams with a heartbeat each second that keep out all others when a control host
+// has no connection left.
+func TestHeartbeatsGiveWay(t *testing.T) {
+	c, now := qt.New(t), time.Now()
+	l := &Listener{use: PlatformUse, limit: 2, open: map[*slot]struct{}{}}
+	for _, age := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond} {
+		l.open[&slot{listener: l, conn: &Conn{}, touched: now.Add(-age)}] = struct{}{}
+	}
+	room, silent := l.findRoom(now)
+	c.Check(room, qt.IsFalse)
+	c.Check(silent, qt.HasLen, 1)
+}
--- a/internal/shared/memory/listen.go
+++ b/internal/shared/memory/listen.go
@@ -14,8 +14,9 @@
 )
 
 // Use is what a listener's connections are used for: its share of the connections that the process may accept, and how long a connection
-// without a complete request may be silent before it gives way to a new one when all are in use. Requests to the listeners of OtherUse are
-// sent at once by programs nearby.
+// without a complete request may be silent before it gives way to a new one when all are in use. Requests to the listeners of OtherUse and
+// PlatformUse are sent at once by programs nearby. Upstreams keep their connections and send a heartbeat each second, so that a connection
+// must give way sooner than that: otherwise those of the first upstreams would keep out other upstreams and operators.
 type Use struct {
 	share   float64
 	silence time.Duration
@@ -25,7 +26,7 @@
 var (
 	CallerUse   = Use{share: 0.4, silence: time.Second}
 	PeerUse     = Use{share: 0.2, silence: time.Second}
-	PlatformUse = Use{share: 0.2, silence: time.Second}
+	PlatformUse = Use{share: 0.2, silence: 300 * time.Millisecond}
 	OtherUse    = Use{share: 0.1, silence: 300 * time.Millisecond}
 )
 
--- a/internal/shared/memory/plan.go
+++ b/internal/shared/memory/plan.go
@@ -28,6 +28,7 @@
 	collector   int64
 	account     int64
 	connections int
+	shares      float64 // sum of the shares of all listeners
 }
 
 // NewPlan divides the memory in bytes and the descriptors that the process may use.
@@ -35,15 +36,24 @@
 	free := max(memory-baseBytes, memory/8)
 	byMemory := connShare * float64(free) / connBytes
 	return Plan{collector: max(memory-outsideBytes, memory/2), account: int64(accountShare * float64(free)),
-		connections: int(min(byMemory, descriptorShare*float64(descriptors)))}
+		connections: int(min(byMemory, descriptorShare*float64(descriptors))), shares: 1}
 }
 
 // Account returns the bytes that the requests in memory may take.
 func (p Plan) Account() int64 { return p.account }
 
+// For returns the plan of a process that has only listeners of the given uses: they divide all connections by their shares.
+func (p Plan) For(uses ...Use) Plan {
+	p.shares = 0
+	for _, u := range uses {
+		p.shares += u.share
+	}
+	return p
+}
+
 // Connections returns how many connections a listener with the given share may have open.
 func (p Plan) Connections(share float64) int {
-	return max(int(share*float64(p.connections)), minConnections)
+	return max(int(share/p.shares*float64(p.connections)), minConnections)
 }
 
 // minConnections is how many connections each listener may have at least.
