memory: clients that do not read their responses lose their connections

Servers of net/http set no deadline of writes. A client that sent requests and never read the responses kept its connection for good; 32 of those that were to give way were enough that no further one did, and the listener accepted nobody. Parts of 64 KiB now have 15 s unless the server sets a deadline. Copies went past Conn.Write to the embedded connection and were not counted either; they now use it.

TestUnreadResponseEnds fails without the change.

--- a/internal/shared/memory/conn.go
+++ b/internal/shared/memory/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,13 @@
 	inNothing // what is read now is not kept
 )
 
+// Limits of writes for which the server sets no deadline. A client that does not read its responses keeps its connection otherwise, also
+// one that should give way: net/http writes the end of a response without a deadline.
+const (
+	writePart = 64 << 10 // bytes
+	writeTime = 15 * time.Second
+)
+
 // Conn is an accepted connection whose requests are read as the gate admits them. Its bytes count towards the claim of the request that
 // is being read.
 type Conn struct {
@@ -50,6 +58,7 @@
 	slot     *slot
 	ready    chan struct{}
 	evicted  atomic.Bool
+	timed    atomic.Bool // whether the server has set a deadline of writes
 	mutex    sync.Mutex
 	claim    *Claim
 	part     part
@@ -100,7 +109,7 @@
 
 // SetDeadline sets the deadlines of reads and writes.
 func (c *Conn) SetDeadline(t time.Time) error {
-	if err := c.TCPConn.SetWriteDeadline(t); err != nil {
+	if err := c.SetWriteDeadline(t); err != nil {
 		return err
 	}
 	return c.SetReadDeadline(t)
@@ -125,12 +134,33 @@
 	return n, err
 }
 
+// SetWriteDeadline sets the deadline of writes. Without one, each part of a write has writeTime.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.timed.Store(!t.IsZero())
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // Write counts and writes. The bytes count before they are written, as a write that waits for the link has filled its queue.
 func (c *Conn) Write(b []byte) (n int, err error) {
 	if c.gate.traffic != nil {
 		c.gate.traffic.AddSent(len(b))
 	}
-	return c.TCPConn.Write(b)
+	for !c.timed.Load() && err == nil && n < len(b) {
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(c.gate.writeTime))
+		var m int
+		m, err = c.TCPConn.Write(b[n:min(n+writePart, len(b))])
+		n += m
+	}
+	if err != nil || n == len(b) {
+		return n, err
+	}
+	m, err := c.TCPConn.Write(b[n:])
+	return n + m, err
+}
+
+// ReadFrom copies by Write, so that the bytes are counted and have a deadline; that of the embedded connection would do neither.
+func (c *Conn) ReadFrom(r io.Reader) (n int64, err error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
 // refuse reports a refusal once and interrupts further reads.
--- a/internal/shared/memory/gate.go
+++ b/internal/shared/memory/gate.go
@@ -46,6 +46,7 @@
 	onRefused func(remote string, r Reason)
 	traffic   Traffic
 	reviewed  time.Duration
+	writeTime time.Duration
 }
 
 // Traffic counts the bytes of accepted connections.
@@ -59,7 +60,7 @@
 
 // NewGate returns a gate for a plan. OnRefused is called for each request that is refused and each connection that is closed.
 func NewGate(p Plan, onRefused func(remote string, r Reason)) *Gate {
-	return &Gate{account: NewAccount(p.Account()), plan: p, start: time.Now(), onRefused: onRefused,
+	return &Gate{account: NewAccount(p.Account()), plan: p, start: time.Now(), onRefused: onRefused, writeTime: writeTime,
 		refusals: map[Reason]*atomic.Int64{ReasonWaited: {}, ReasonStalled: {}, ReasonConnections: {}}}
 }
 
--- a/internal/shared/memory/gate_test.go
+++ b/internal/shared/memory/gate_test.go
@@ -1,7 +1,10 @@
 package memory
 
 import (
+	"bytes"
+	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -73,3 +76,30 @@
 	c.Check(room, qt.IsFalse)
 	c.Check(silent, qt.HasLen, 1)
 }
+
+// TestUnreadResponseEnds guards against a client that never reads its responses and keeps its connection for good, also when others wait
+// to be accepted.
+func TestUnreadResponseEnds(t *testing.T) {
+	data := make([]byte, 64<<20)
+	for name, send := range map[string]func(own *Conn) error{
+		"written": func(own *Conn) error { _, err := own.Write(data); return err },
+		"copied": func(own *Conn) error {
+			_, err := io.Copy(own, io.LimitReader(bytes.NewReader(data), int64(len(data))))
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			own, _ := accept(c, size)
+			own.gate.writeTime = 50 * time.Millisecond
+			ended := make(chan error, 1)
+			go func() { ended <- send(own) }()
+			select {
+			case err := <-ended:
+				c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+			case <-time.After(5 * time.Second):
+				c.Fatal("the write still waits")
+			}
+		})
+	}
+}
