table, broker: upstreams out of service are listed with the view

While a data centre was out of service, each request and each wait for a slot went through all upstreams of its service, several times, and allocated the list of those out of service. The view now lists them when hosts or evacuations change.

--- a/internal/entry/broker/evacuated.go
+++ b/internal/entry/broker/evacuated.go
@@ -12,19 +12,6 @@
 // errOutOfService is the cause of a request that was not sent because the data centre of its upstream was taken out of service meanwhile.
 var errOutOfService = errors.New("upstream is in a data centre out of service")
 
-// evacuated returns the numbers of a service's upstreams that are in data centres out of service.
-func evacuated(v *table.View, service string) (numbers []uint32) {
-	if v.Evacuations().Empty() {
-		return nil
-	}
-	for _, u := range v.UpstreamsOf(service) {
-		if v.Evacuated(u.DataCentre) {
-			numbers = append(numbers, u.Number)
-		}
-	}
-	return numbers
-}
-
 // closeEvacuated closes the upstreams in data centres out of service for the scheduler.
 func closeEvacuated(v *table.View, list []sched.Upstream) []sched.Upstream {
 	for i := range list {
--- a/internal/entry/broker/select.go
+++ b/internal/entry/broker/select.go
@@ -186,7 +186,7 @@
 // or are out of service, which the scheduler may not know yet, and those that this host cannot connect to.
 func (b *Broker) excludedFor(now time.Duration, j *job) []uint32 {
 	list := slices.Clone(j.excluded)
-	unusable := append(b.upstreams.unusable(now, j.service), evacuated(b.options.Table.View(), j.service)...)
+	unusable := append(b.upstreams.unusable(now, j.service), b.options.Table.View().EvacuatedOf(j.service)...)
 	for _, number := range unusable {
 		if !slices.Contains(list, number) {
 			list = append(list, number)
--- a/internal/entry/broker/tracker.go
+++ b/internal/entry/broker/tracker.go
@@ -180,7 +180,7 @@
 // and otherwise zero.
 func (t *tracker) pauseOf(now time.Duration, v *table.View, service string) time.Duration {
 	numbers, soonest := t.notices.unwilling(now, service)
-	if len(union(numbers, evacuated(v, service))) < len(v.UpstreamsOf(service)) {
+	if len(union(numbers, v.EvacuatedOf(service))) < len(v.UpstreamsOf(service)) {
 		return 0
 	}
 	return soonest
--- a/internal/shared/table/evacuated.go
+++ b/internal/shared/table/evacuated.go
@@ -8,15 +8,28 @@
 // Evacuations returns the data centres out of service; the set is replaced by another one when they change.
 func (v *View) Evacuations() *evac.Set { return v.evacuations }
 
+// EvacuatedOf returns the numbers of a service's upstreams that are in data centres out of service, in ascending order.
+func (v *View) EvacuatedOf(service string) []uint32 { return v.evacuated[service] }
+
 // AllEvacuated reports whether a service has upstreams and all of them are in data centres out of service.
 func (v *View) AllEvacuated(service string) bool {
-	list := v.UpstreamsOf(service)
-	for _, u := range list {
-		if !v.Evacuated(u.DataCentre) {
-			return false
+	out := len(v.evacuated[service])
+	return out > 0 && out == len(v.UpstreamsOf(service))
+}
+
+// listEvacuated lists the upstreams in data centres out of service, so that requests need not look for them.
+func (v *View) listEvacuated() {
+	v.evacuated = map[string][]uint32{}
+	if v.evacuations.Empty() {
+		return
+	}
+	for service, list := range v.byService {
+		for _, u := range list {
+			if v.Evacuated(u.DataCentre) {
+				v.evacuated[service] = append(v.evacuated[service], u.Number)
+			}
 		}
 	}
-	return len(list) > 0
 }
 
 // applyEvacuations applies the data centres that a delta takes out of service or back. The view keeps only those out of service.
--- a/internal/shared/table/view.go
+++ b/internal/shared/table/view.go
@@ -29,6 +29,7 @@
 	hostsVersion uint64
 	unchecked    bool
 	evacuations  *evac.Set
+	evacuated    map[string][]uint32 // by service, see EvacuatedOf
 }
 
 // ErrNotNewer is returned for a delta that leads to an older version than the view's or does not start at the view's version.
@@ -64,14 +65,17 @@
 		return nil, &ErrNotNewer{Held: v.version, Offered: d.To}
 	}
 	next = &View{version: d.To, digest: v.digest, config: v.config, services: v.services, upstreams: v.upstreams,
-		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService, hostsVersion: v.hostsVersion, unchecked: v.unchecked,
-		evacuations: v.evacuations}
+		entries: v.entries, homes: v.homes, items: v.items, control: v.control, byService: v.byService,
+		hostsVersion: v.hostsVersion, unchecked: v.unchecked, evacuations: v.evacuations, evacuated: v.evacuated}
 	next.applyItems(d)
 	next.applyEvacuations(d)
 	if err = next.applyConfig(d.Config); err != nil {
 		return nil, err
 	}
 	next.applyHosts(d)
+	if d.Full || next.hostsVersion != v.hostsVersion {
+		next.listEvacuated()
+	}
 	if err = next.applySlices(v, d); err != nil {
 		return nil, err
 	}
