--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -114,9 +114,8 @@
 }
 
 // Result is returned to the proposer of a command when the command has been applied. Outcome is set for a publish, Number for an
-// upstream that joined, Changed for a patch (the number of changed items)
-// and for an evacuation (0 or 1). Rejection is the reason if the command was
-// rejected, else empty; Outdated says that it was because of a later one.
+// upstream that joined, Changed for a patch (the number of changed items) and for an evacuation (0 or 1). Rejection is the reason if the
+// command was rejected, else empty; Outdated says that it was because of a later one.
 type Result struct {
 	Outcome   *table.PublishResult
 	Number    uint32
--- a/internal/shared/memory/listen.go
+++ b/internal/shared/memory/listen.go
@@ -47,7 +47,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: raw.(*net.TCPListener), gate: g, use: use, limit: g.plan.Connections(use.share), open: map[*slot]struct{}{}}, nil
+	return &Listener{TCPListener: raw.(*net.TCPListener), gate: g, use: use, limit: g.plan.Connections(use.share),
+		open: map[*slot]struct{}{}}, nil
 }
 
 // Accept returns the next connection.
