--- a/internal/entry/retry/window.go
+++ b/internal/entry/retry/window.go
@@ -12,8 +12,13 @@
 	Window time.Duration
 }
 
-// bucketCount is the number of buckets that a window is divided into. The window slides by one bucket at a time.
-const bucketCount = 10
+// Parts of a window. It slides by one bucket at a time. The current bucket is not over, so that retries are counted over one bucket more
+// than requests: with the same number, retries of up to a tenth of the window were left out, and a service exceeded its budget by 4 of
+// 1,250.
+const (
+	bucketCount = 10
+	keptBuckets = bucketCount + 1
+)
 
 // initialBaseShare is the share of Base that is available immediately to a window that has just started counting. It is below one
 // because other hosts may have allowed retries within the same window.
@@ -30,7 +35,7 @@
 type Window struct {
 	limits  Limits
 	share   float64
-	buckets [bucketCount]bucket
+	buckets [keptBuckets]bucket
 	current int64
 	since   time.Duration
 	started bool
@@ -43,7 +48,7 @@
 // Request counts a request's first attempt.
 func (w *Window) Request(now time.Duration) {
 	w.advance(now)
-	w.buckets[w.current%bucketCount].requests++
+	w.buckets[w.current%keptBuckets].requests++
 }
 
 // Spend reports whether one more retry is allowed and, if so, counts it. baseShare is the share of the limits' Base that this
@@ -51,21 +56,23 @@
 func (w *Window) Spend(now time.Duration, baseShare float64) bool {
 	w.advance(now)
 	requests, retries := 0, 0
-	for _, b := range w.buckets {
-		requests += b.requests
+	for i, b := range w.buckets {
 		retries += b.retries
+		if int64(i) != (w.current+1)%keptBuckets { // the oldest one
+			requests += b.requests
+		}
 	}
 	if float64(retries+1) > w.share*(w.limits.Share*float64(requests)+w.base(now)*baseShare) {
 		return false
 	}
-	w.buckets[w.current%bucketCount].retries++
+	w.buckets[w.current%keptBuckets].retries++
 	return true
 }
 
 // Refund uncounts a retry that was allowed recently but not sent.
 func (w *Window) Refund(now time.Duration) {
 	w.advance(now)
-	b := &w.buckets[w.current%bucketCount]
+	b := &w.buckets[w.current%keptBuckets]
 	b.retries = max(b.retries-1, 0)
 }
 
@@ -81,9 +88,9 @@
 		w.started, w.since = true, now
 	}
 	at := int64(now / max(w.limits.Window/bucketCount, time.Millisecond))
-	for steps := 0; w.current < at && steps < bucketCount; steps++ {
+	for steps := 0; w.current < at && steps < keptBuckets; steps++ {
 		w.current++
-		w.buckets[w.current%bucketCount] = bucket{}
+		w.buckets[w.current%keptBuckets] = bucket{}
 	}
 	w.current = max(w.current, at)
 }
--- a/internal/entry/retry/window_test.go
+++ b/internal/entry/retry/window_test.go
@@ -24,3 +24,29 @@
 	c.Assert(spent > 10, qt.IsTrue)
 	c.Assert(w.Spend(60*time.Second, 0.5), qt.IsTrue)
 }
+
+// TestEachWindowIsWithinLimits guards against a window that starts within a bucket and contains more retries than the limits allow.
+func TestEachWindowIsWithinLimits(t *testing.T) {
+	limits := Limits{Share: 0.2, Base: 50, Window: 10 * time.Second}
+	w := NewWindow(limits, 1)
+	var requests, retries []time.Duration
+	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
+		w.Request(now)
+		requests = append(requests, now)
+		if now%(5*time.Second) < time.Second && w.Spend(now, 1) { // they come together, as during failures
+			retries = append(retries, now)
+		}
+	}
+	within := func(list []time.Duration, from time.Duration) (n int) {
+		for _, at := range list {
+			if at >= from && at < from+limits.Window {
+				n++
+			}
+		}
+		return n
+	}
+	for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+		most := limits.Share*float64(within(requests, from)) + limits.Base
+		qt.Assert(t, float64(within(retries, from)) <= most, qt.IsTrue, qt.Commentf("%d retries from %v, at most %.0f", within(retries, from), from, most))
+	}
+}
