--- a/internal/entry/retry/window_test.go
+++ b/internal/entry/retry/window_test.go
@@ -33,7 +33,7 @@
 	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
 		w.Request(now)
 		requests = append(requests, now)
-		if now%(5*time.Second) < time.Second && w.Spend(now, 1) { // they come together, as during failures
+		for now%(9150*time.Millisecond) == 900*time.Millisecond && w.Spend(now, 1) { // all at once, as during failures
 			retries = append(retries, now)
 		}
 	}
