--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -45,7 +45,7 @@
 mutant lateJoinLease $lease/manager.go 'return r.Applied >= l.joinedAt' 'return true' $lease TestLeaseNeedsATableAsNewAsTheJoin
 mutant fullLease $lease/manager.go 'return t.lease + t.lease*driftNumerator/driftDenominator' 'return t.lease / 2' $lease TestLostOwnerKeepsItsSlicesUntilTheLeaseExpires
 mutant fullLeaseInWorld $lease/manager.go 'return t.lease + t.lease*driftNumerator/driftDenominator' 'return t.lease / 3' $group TestSoakOwnership
-mutant newLeaderWaits $lease/manager.go '&upstreamLease{renewedAt: now}' '&upstreamLease{renewedAt: now - time.Hour}' $lease TestNewLeaderTreatsLeasesAsLive
+mutant newLeaderWaits $lease/manager.go '&upstreamLease{renewedAt: now, sequence: sequence}' '&upstreamLease{renewedAt: now - time.Hour, sequence: sequence}' $lease TestNewLeaderTreatsLeasesAsLive
 mutant ackBeforeMove $lease/manager.go 'l.ackedVersion < h.ackVersion && now-l.renewedAt' 'false && now-l.renewedAt' $lease TestMoveWaitsForTheOldOwner
 mutant ackBeforeMoveInWorld $lease/manager.go 'l.ackedVersion < h.ackVersion && now-l.renewedAt' 'false && now-l.renewedAt' $group TestSoakOwnership
 mutant effectCheck internal/sample/owner/owner.go "if time.Now().UnixMilli() >= deadline || u.options.ChecksFence && !u.grants.Holds(hash, fence, time.Now()) {" "if false {" internal/sample/owner TestEffectIsCheckedAgain
@@ -153,7 +153,7 @@
 broker=internal/entry/broker
 conns=internal/entry/conns
 serve=internal/entry/serve
-mutant assignedSlots $sched/place.go 'return max(u.upstream.Slots, 1) }' 'return max(u.upstream.Slots, 1) + 1 }' $sched TestSlotsAreNeverExceeded
+mutant assignedSlots $sched/place.go 'u.report.elsewhere), 1)' 'u.report.elsewhere), 1) + 1' $sched TestSlotsAreNeverExceeded
 mutant subsetOfUpstream $sched/subset.go 'counts[u.DataCentre], 1)' 'counts[u.DataCentre], 1)+uint16(u.Slots)' $sched TestSubsetsHoldEachUpstreamOnce
 mutant boundedResends $sched/acquire.go 'if unanswered++; unanswered == len(replyTimeouts) {' 'if unanswered = 0; false {' $sched TestResendsAreBounded
 mutant lateMargin $sched/scheduler.go 'avgTimeMargin       = 1.3' 'avgTimeMargin       = 0.5' $sched TestReplayOfSubsets
@@ -189,7 +189,7 @@
 mutant http10CloseDelimited $serve/types.go 'resp.untilClose = !r.ProtoAtLeast(1, 1) &&' 'resp.untilClose = false &&' $serve TestHTTP10CallersReadLongResponses/whole
 mutant http10Reset $serve/write.go '_ = tcp.SetLinger(0)' '_ = tcp' $serve TestHTTP10CallersReadLongResponses/broken
 mutant slowBodyIsRejected $serve/read.go 'return nil, c.rejectLate("the body did not come in time")' 'return nil, &readFailure{closed: err}' $serve TestSlowBodyAffectsNoOtherResponse
-mutant announcedBodyBuffer $serve/read.go 'initialBodyBuffer = 32 << 10' 'initialBodyBuffer = 32 << 30' $serve TestAnnouncedBodyAllocatesLittle
+mutant announcedBodyBuffer internal/entry/bound/body.go 'firstBlock = 32 << 10' 'firstBlock = 32 << 30' $serve TestAnnouncedBodyAllocatesLittle
 mutant partOfAHeaderLine $serve/read.go 'err != nil && c.limited.Failure() != nil' 'false' $serve TestHeaderLineThatStopsIsNotMalformed
 mutant drainBeforeLeave $broker/stop.go 'server.Drain()' '_ = server.Drain' $broker TestStopDrainsConnectionsBeforeTheHostLeaves
 mutant lostUpstreamReturns $lease/manager.go '|| joinsAgain(s, a)' '' $lease TestLostUpstreamJoinsAgain
--- a/internal/entry/sched/place.go
+++ b/internal/entry/sched/place.go
@@ -191,7 +191,11 @@
 // cost estimates the service time of a request at an upstream, in units of the average. A failure costs another attempt, so that
 // the cost grows with the failure rate.
 func (u *upstreamState) cost(now time.Duration, dataCentre string) float64 {
-	cost := u.presentRatio() / (1.05 - min(u.failureRateNow(now), 1))
+	ratio := u.presentRatio()
+	if u.untried && u.busy == 0 {
+		ratio = min(ratio, untriedRatio)
+	}
+	cost := ratio / (1.05 - min(u.failureRateNow(now), 1))
 	cost += loadCost * float64(u.busy) / float64(u.limit())
 	if u.upstream.DataCentre != dataCentre {
 		cost += remoteCost
@@ -202,6 +206,10 @@
 	return cost
 }
 
+// untriedRatio is the latency ratio of an idle upstream that joined and has not answered yet. It is below that of fast upstreams, so that one request
+// shows its speed: under low load, upstreams that joined got no requests for seconds, as those known to be fast had free slots.
+const untriedRatio = 0.5
+
 // loadCost is the additional cost of a request at an upstream with all other slots in use.
 const loadCost = 0.12
 
--- a/internal/entry/sched/scheduler.go
+++ b/internal/entry/sched/scheduler.go
@@ -46,6 +46,8 @@
 	cold      coldState
 	restraint restraint
 	report    report
+	// untried is set while an upstream that joined others has not answered a request.
+	untried bool
 }
 
 // job is a request that has a slot or waits for one. Its state is that of the upstream whose slot it has, nil while it waits.
@@ -96,7 +98,8 @@
 		known[upstream.Number] = true
 		u := s.upstreams[upstream.Number]
 		if u == nil {
-			u = &upstreamState{latencyRatio: 1, connectFailures: map[string]time.Duration{}, usedBy: map[string]time.Duration{}}
+			u = &upstreamState{latencyRatio: 1, untried: len(s.numbers) > 0, connectFailures: map[string]time.Duration{},
+				usedBy: map[string]time.Duration{}}
 			s.upstreams[upstream.Number] = u
 		}
 		u.upstream = upstream
@@ -227,6 +230,7 @@
 	case Full:
 		u.restraint.full(now, now-r.Took, max(u.upstream.Slots, 1))
 	case Answered:
+		u.untried = false
 		u.restraint.answered(u.limit())
 		u.addSample(now, 0)
 		s.learnWork(j, r.usualTime())
--- a/internal/entry/sched/scheduler_test.go
+++ b/internal/entry/sched/scheduler_test.go
@@ -415,3 +415,25 @@
 	named.ID = 6
 	c.Check(replyFor(s.Submit(3*time.Millisecond, "h", named), 6).Decision, qt.Equals, NoUpstream)
 }
+
+// TestUntriedUpstreamGetsOneRequest guards against upstreams that join under low load and get nothing, and against trying them with
+// several requests at once.
+func TestUntriedUpstreamGetsOneRequest(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(upstreamsOf(6, 6))
+	for id := range uint64(60) {
+		r := replyFor(s.Submit(0, "h", SlotRequest{ID: id + 1, Timeout: time.Second, Objective: time.Second, DataCentre: "d"}), id+1)
+		took := 100 * time.Millisecond
+		if r.Upstream == 2 {
+			took = 500 * time.Millisecond
+		}
+		s.Finish(0, "h", Result{ID: id + 1, Completion: Answered, Took: took})
+	}
+	s.SetUpstreams(0, upstreamsOf(6, 6, 6), 1)
+	var given []uint32
+	for id := range uint64(3) {
+		r := replyFor(s.Submit(0, "h", SlotRequest{ID: 100 + id, Timeout: time.Second, Objective: time.Second, DataCentre: "d"}), 100+id)
+		given = append(given, r.Upstream)
+	}
+	c.Check(given, qt.DeepEquals, []uint32{3, 1, 1})
+}
