--- a/internal/ops/daemon/crowd_test.go
+++ b/internal/ops/daemon/crowd_test.go
@@ -76,7 +76,8 @@
 	c.Check(descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", descriptors))
 }
 
-// maxBalance is the most that the requests of a host without load hold: those of other hosts that wait for news, and that of the test.
+// maxBalance is the most that the requests of a host without load hold: the watches of other hosts, and that of the
+// test.
 const maxBalance = 64 << 10 // bytes
 
 // assertBalance guards against memory that is admitted and never released: the balance of a host without load must be near zero.
--- a/internal/shared/memory/account_test.go
+++ b/internal/shared/memory/account_test.go
@@ -89,7 +89,8 @@
 }
 
 // TestControlPlan guards against control hosts that have too few connections for the upstreams and entry hosts of the deployments, all of
-// which may use one control host: a connection for each upstream, and for each entry host one that waits for news and one for renewals.
+// which may use one control host: a connection for each upstream, and for each entry host one for watches and one
+// for renewals.
 func TestControlPlan(t *testing.T) {
 	p := NewPlan(144<<20, 3075).For(PeerUse, OtherUse, OtherUse, PlatformUse)
 	qt.Check(t, p.Connections(PlatformUse.share) >= 340, qt.IsTrue)
